Read the configuration again on SIGHUP and move the watch to the directory it names

LB_DISCOVERY went before the file, so the new address would not have been taken either (Config.read).

Now Signals hands SIGHUP to Service.reload, which reads the file on the signal's thread and posts the rest to the loop: settings, limits, and DirectoryWatch.move, which drops the old watch, forgets the back-off and asks the new address for the whole list. A file that cannot be used changes nothing and logs one line.

--- a/src/main/java/amberhoist/Balancer.java
+++ b/src/main/java/amberhoist/Balancer.java
@@ -230,6 +230,9 @@
   /** Begins the balancer's life. */
   void start(long now, Settings settings, long seed, Actions actions);
 
+  /** Other settings, from now on; requests that came before keep the aims of their class. */
+  void configure(long now, Settings settings);
+
   /** News of the server list, in order and with none skipped. */
   void members(long now, ListKind kind, List<Server> servers);
 
--- a/src/main/java/amberhoist/Main.java
+++ b/src/main/java/amberhoist/Main.java
@@ -4,7 +4,9 @@
 import amberhoist.config.Config;
 import amberhoist.config.Config.BadConfig;
 import amberhoist.net.Service;
+import amberhoist.net.Signals;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 
 /** The command line: {@code serve} is the proxy, {@code drill} speaks the simulator's wire. */
 public final class Main {
@@ -26,8 +28,12 @@
   }
 
   private static void serve() {
+    CompletableFuture<Service> started = new CompletableFuture<>();
+    Signals.onHangup(() -> started.join().reload(System.getenv()));
     try {
-      Service.start(Config.load(System.getenv(), new Clock())).stopOnSignal();
+      Service service = Service.start(Config.load(System.getenv(), new Clock()));
+      service.stopOnSignal();
+      started.complete(service);
     } catch (BadConfig fault) {
       System.err.println(fault.getMessage());
       System.exit(1);
--- a/src/main/java/amberhoist/Policy.java
+++ b/src/main/java/amberhoist/Policy.java
@@ -100,13 +100,9 @@
     if (given == null || sink == null) {
       throw new IllegalArgumentException("settings and actions are needed");
     }
-    settings = given;
     actions = sink;
     random = new Random(seed);
-    for (RequestClass type : given.classes()) {
-      types.put(type.name(), type);
-      shortestAim = type.messageAim() > 0 ? Math.min(shortestAim, type.messageAim()) : shortestAim;
-    }
+    take(given);
     rateAt = now;
     trustAt = now;
     nextSweep = now + SWEEP;
@@ -116,6 +112,24 @@
     actions.timer(now + TICK, 0);
   }
 
+  @Override
+  public void configure(long now, Settings given) {
+    started();
+    take(given);
+    askAt = given.subscribe() ? askAt : Long.MAX_VALUE;
+    rebuild(now);
+  }
+
+  private void take(Settings given) {
+    settings = given;
+    types.clear();
+    shortestAim = Double.MAX_VALUE;
+    for (RequestClass type : given.classes()) {
+      types.put(type.name(), type);
+      shortestAim = type.messageAim() > 0 ? Math.min(shortestAim, type.messageAim()) : shortestAim;
+    }
+  }
+
   private void started() {
     if (settings == null) {
       throw new IllegalStateException("start must come first");
--- a/src/main/java/amberhoist/config/Config.java
+++ b/src/main/java/amberhoist/config/Config.java
@@ -1,6 +1,7 @@
 package amberhoist.config;
 
 import amberhoist.clock.Clock;
+import amberhoist.core.Core.Limits;
 import amberhoist.directory.Address;
 import amberhoist.directory.News;
 import com.fasterxml.jackson.core.JsonFactory;
@@ -10,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import amberhoist.Balancer.Settings;
@@ -29,6 +31,11 @@
   private static final long DIAL = 250_000;
   private static final long LONGEST = 3_000_000;
 
+  /** What the core keeps to. */
+  public Limits limits() {
+    return new Limits(dial, longest);
+  }
+
   /** Reads the file that {@code LB_CONFIG} names; other variables take the place of what it says. */
   public static Config load(Map<String, String> environment, Clock clock) throws BadConfig {
     String file = environment.get("LB_CONFIG");
@@ -43,6 +50,16 @@
     }
   }
 
+  /**
+   * Reads that file again while the proxy runs. Its {@code discovery} then goes before the variable, which
+   * still names the address from the start of the process.
+   */
+  public static Config reload(Map<String, String> environment, Clock clock) throws BadConfig {
+    Map<String, String> others = new HashMap<>(environment);
+    others.remove("LB_DISCOVERY");
+    return load(others, clock);
+  }
+
   private static Config read(JsonParser in, Map<String, String> environment, Clock clock) throws IOException {
     String name = environment.get("LB_NAME");
     String listen = environment.get("LB_LISTEN");
--- a/src/main/java/amberhoist/core/Core.java
+++ b/src/main/java/amberhoist/core/Core.java
@@ -51,7 +51,7 @@
   private final Wheel wheel;
   private final Commands commands;
   private final Counters counters;
-  private final Limits limits;
+  private Limits limits;
   private final SlotTable<Invocation> invocations = new SlotTable<>();
   private final Map<String, Pulse> pulses = new HashMap<>();
   private final ArrayDeque<Runnable> events = new ArrayDeque<>();
@@ -94,6 +94,14 @@
     });
   }
 
+  /** Goes on with other settings; what is out or joined stays as it is. */
+  public void configure(long time, Settings settings, Limits others) {
+    event(time, () -> {
+      limits = others;
+      balancer.configure(now, settings);
+    });
+  }
+
   /** News from the directory. */
   public void directory(long time, ListKind kind, List<Server> providers) {
     event(time, () -> balancer.members(now, kind, providers));
--- a/src/main/java/amberhoist/metrics/Counters.java
+++ b/src/main/java/amberhoist/metrics/Counters.java
@@ -38,6 +38,8 @@
     DIRECTORY_WATCHES,
     DIRECTORY_FAILURES,
     DIRECTORY_NEWS,
+    RELOADS,
+    RELOADS_REFUSED,
     BROKEN_INVARIANTS
   }
 
--- a/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/src/main/java/amberhoist/net/DirectoryWatch.java
@@ -48,7 +48,7 @@
   private final Core core;
   private final Proxy proxy;
   private final Counters counters;
-  private final InetSocketAddress address;
+  private InetSocketAddress address;
   private final Random random;
   private final SlotTable<Watch> watches = new SlotTable<>();
   private long current = SlotTable.NONE;
@@ -103,6 +103,26 @@
     }
   }
 
+  /**
+   * Watches the directory at another address from now on, and at once. The list stays until the new one tells
+   * otherwise. It is asked for all of it, since it may number its versions in its own way.
+   */
+  public void move(InetSocketAddress to) {
+    if (to.equals(address) || closed) {
+      return;
+    }
+    address = to;
+    index = 0;
+    pause = PAUSE; // guards against a back-off, earned by the old address, that outlasts the time to be told
+    if (timer != null) {
+      timer.cancel();
+      timer = null;
+    }
+    discard(current); // whatever still comes of it finds no watch
+    current = SlotTable.NONE;
+    start();
+  }
+
   private void start() {
     counters.add(Count.DIRECTORY_WATCHES);
     try {
@@ -171,16 +191,22 @@
   }
 
   private void broken(long number, String why) {
-    Watch watch = watches.remove(number);
-    if (watch == null || closed) {
-      return;
+    if (discard(number) && !closed) {
+      failed(why);
     }
-    try {
-      watch.channel.close();
-    } catch (IOException gone) {
-      // it is no longer used either way
+  }
+
+  /** Closes a watch; whether it was still in use. */
+  private boolean discard(long number) {
+    Watch watch = watches.remove(number);
+    if (watch != null) {
+      try {
+        watch.channel.close();
+      } catch (IOException gone) {
+        // it is no longer used either way
+      }
     }
-    failed(why);
+    return watch != null;
   }
 
   /** The list that is held stays valid; the balancer is told, and another watch follows after a pause. */
@@ -206,13 +232,6 @@
     if (timer != null) {
       timer.cancel();
     }
-    Watch watch = watches.remove(current);
-    if (watch != null) {
-      try {
-        watch.channel.close();
-      } catch (IOException gone) {
-        // it is no longer used either way
-      }
-    }
+    discard(current);
   }
 }
--- a/src/main/java/amberhoist/net/Proxy.java
+++ b/src/main/java/amberhoist/net/Proxy.java
@@ -40,7 +40,7 @@
 
   private final Loop loop;
   private final Counters counters;
-  private final int most;
+  private int most;
   private final SlotTable<Connection> connections = new SlotTable<>();
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private Core core;
@@ -104,11 +104,16 @@
 
   /** A proxy on this loop with so many descriptors for all it does; {@link #open} makes it serve. */
   public Proxy(Loop loop, Counters counters, int descriptors) {
-    most = Math.max(2, descriptors - OWN_DESCRIPTORS);
+    limit(descriptors);
     this.loop = loop;
     this.counters = counters;
   }
 
+  /** Holds so many descriptors at most from now on; what is held above that is not cut off. */
+  public void limit(int descriptors) {
+    most = Math.max(2, descriptors - OWN_DESCRIPTORS);
+  }
+
   /** Names the core to translate for, and what makes sure that the directory is watched. */
   public void wire(Core theCore, Runnable theWatch) {
     core = theCore;
--- a/src/main/java/amberhoist/net/Service.java
+++ b/src/main/java/amberhoist/net/Service.java
@@ -1,13 +1,17 @@
 package amberhoist.net;
 
 import amberhoist.config.Config;
+import amberhoist.config.Config.BadConfig;
 import amberhoist.core.Core;
 import amberhoist.metrics.Counters;
+import amberhoist.metrics.Counters.Count;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import amberhoist.Policy;
@@ -26,8 +30,7 @@
   private Service(Config config) throws IOException {
     loop = new Loop();
     proxy = new Proxy(loop, counters, config.sockets());
-    core = new Core(new Policy(), loop.wheel(), proxy, counters,
-        new Core.Limits(config.dial(), config.longest()));
+    core = new Core(new Policy(), loop.wheel(), proxy, counters, config.limits());
     directory = new DirectoryWatch(loop, core, proxy, counters, config.discovery(), config.known().index(),
         config.seed());
     proxy.wire(core, directory::ensure);
@@ -63,6 +66,35 @@
     return proxy.address();
   }
 
+  /**
+   * Reads the configuration again and goes on with it: directory, settings and limits. Name and address stay
+   * as they are. A file that cannot be used changes nothing. It may be called from any thread, at any time:
+   * the file is read on the caller's, and the loop takes up what was read last.
+   */
+  public synchronized void reload(Map<String, String> environment) {
+    Runnable task;
+    try {
+      Config config = Config.reload(environment, loop.clock());
+      task = () -> {
+        counters.add(Count.RELOADS);
+        proxy.limit(config.sockets());
+        core.configure(loop.now(), config.settings(), config.limits());
+        directory.move(config.discovery());
+        System.err.println("configuration read again, directory at " + config.discovery());
+      };
+    } catch (BadConfig fault) {
+      task = () -> {
+        counters.add(Count.RELOADS_REFUSED);
+        System.err.println("the configuration stays as it was: " + fault.getMessage());
+      };
+    }
+    try {
+      loop.post(task);
+    } catch (RejectedExecutionException ended) {
+      // the proxy has stopped meanwhile and needs no configuration any more
+    }
+  }
+
   /** Stops in good order when the process is told to end, and then exits with status 0. */
   public void stopOnSignal() {
     Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/test/java/amberhoist/net/DirectoryStoriesTest.java
+++ b/src/test/java/amberhoist/net/DirectoryStoriesTest.java
@@ -7,6 +7,7 @@
 
 import amberhoist.metrics.Counters.Count;
 import amberhoist.net.Peers.Peer;
+import java.net.ServerSocket;
 import java.util.concurrent.CountDownLatch;
 import org.junit.Test;
 
@@ -58,6 +59,60 @@
     }
   }
 
+  @Test
+  public void aReloadMovesTheWatchAtOnceAndKeepsListAndConnections() throws Exception {
+    try (Peers peers = new Peers(1); ServerSocket other = Peers.listen()) {
+      String[] query = new String[1];
+      Peer old = peers.watchTelling(peers.list(9, true));
+      until(peers, Count.DIRECTORY_NEWS, 1);
+      Peer[] standing = peers.joined("a", 0);
+      peers.reload("{\"discovery\":");
+      peers.reload(peers.config(peers.directory)); // nothing new: the watch stays
+      until(peers, Count.RELOADS, 1);
+      peers.reload(peers.config(other));
+      Peer watch = peers.watch(other, query);
+      assertTrue("it may number its versions otherwise: " + query[0], query[0].contains("&since=0 "));
+      assertEquals("FIN", old.line());
+      peers.client(opening("b", 2000, ""));
+      assertTrue("the list lives on", peers.provider(0).line().contains("b"));
+      watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      watch.send(chunk(peers.list(2, true, "leaving")));
+      until(peers, Count.DIRECTORY_NEWS, 2);
+      assertTrue(peers.client(opening("c", 300, "")).line().startsWith("BUSY"));
+      standing[0].send("M 1\r\n");
+      assertEquals("M 1", standing[1].line());
+      assertEquals("the old watch's end is no failure", 0, peers.service.count(Count.DIRECTORY_FAILURES));
+      assertEquals(1, peers.service.count(Count.RELOADS_REFUSED));
+    }
+  }
+
+  @Test
+  public void aReloadDoesNotWaitForTheBackOffOfTheOldDirectory() throws Exception {
+    try (Peers peers = new Peers(1); ServerSocket other = Peers.listen()) {
+      peers.directory.close();
+      until(peers, Count.DIRECTORY_FAILURES, 4); // the pause has grown
+      long start = System.nanoTime();
+      peers.reload(peers.config(other));
+      peers.watch(other, new String[1]);
+      assertTrue("at once", System.nanoTime() - start < 500_000_000L);
+      peers.service.stop();
+      peers.reload(peers.config(other)); // too late to matter, and harmless
+    }
+  }
+
+  @Test(timeout = Peers.PATIENCE)
+  public void theHangupSignalIsTakenAndEndsNothing() throws Exception {
+    CountDownLatch taken = new CountDownLatch(2);
+    Signals.onHangup(taken::countDown);
+    for (long left = 2; left > 0; left--) {
+      new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
+      while (taken.getCount() >= left) {
+        Thread.onSpinWait();
+      }
+    }
+    assertEquals(0, taken.getCount());
+  }
+
   @Test
   public void newsReachesTheModuleBeforeAnInvocationThatCameFirst() throws Exception {
     try (Peers peers = new Peers(1)) {
--- a/src/test/java/amberhoist/net/Peers.java
+++ b/src/test/java/amberhoist/net/Peers.java
@@ -59,6 +59,7 @@
   final List<ServerSocket> providers = new ArrayList<>();
   final ServerSocket directory = listen();
   final Service service;
+  private final int sockets;
   private final List<Peer> open = new ArrayList<>();
 
   /** A proxy that knows so many providers, all active, as p0, p1 and so on. */
@@ -66,14 +67,29 @@
     for (int i = 0; i < count; i++) {
       providers.add(listen());
     }
+    this.sockets = sockets;
     Path file = Files.createTempFile("config", ".json");
-    Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+    Files.writeString(file, config(directory));
+    service = Service.start(Config.load(Map.of("LB_CONFIG", file.toString()), new Clock()));
+    Files.delete(file);
+  }
+
+  /** The configuration, naming this directory. */
+  String config(ServerSocket directory) {
+    return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
         + directory.getLocalPort() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets
         + "},\"known\":" + list(1, true, "active") + ",\"settings\":{\"discovery\":\"subscribe\",\"lanes\":[{"
         + "\"name\":\"chat\",\"effect\":\"pure\",\"key-scope\":\"all\",\"aim\":300000,\"give-up\":3000000}],"
         + "\"family-info\":{\"message-aim\":[100000]},\"limits\":{\"max-attempts\":4,\"retry-after\":true,"
-        + "\"max-retry-after\":1500000,\"dial-timeout\":250000}}}");
-    service = Service.start(Config.load(Map.of("LB_CONFIG", file.toString()), new Clock()));
+        + "\"max-retry-after\":1500000,\"dial-timeout\":250000}}}";
+  }
+
+  /** Replaces the configuration by this text and has the proxy read it again, as SIGHUP does. */
+  void reload(String text) throws IOException {
+    Path file = Files.createTempFile("config", ".json");
+    Files.writeString(file, text);
+    String first = "127.0.0.1:" + directory.getLocalPort();
+    service.reload(Map.of("LB_CONFIG", file.toString(), "LB_DISCOVERY", first));
     Files.delete(file);
   }
 
@@ -81,7 +97,7 @@
     this(count, 1024);
   }
 
-  private static ServerSocket listen() throws IOException {
+  static ServerSocket listen() throws IOException {
     ServerSocket server = new ServerSocket(0, 64, LOOPBACK);
     server.setSoTimeout(PATIENCE);
     return server;
@@ -100,6 +116,11 @@
 
   /** The next watch of the proxy; its query has been read, and its first line is left in {@code query}. */
   Peer watch(String[] query) throws IOException {
+    return watch(directory, query);
+  }
+
+  /** The next watch that comes to this directory. */
+  Peer watch(ServerSocket directory, String[] query) throws IOException {
     Peer peer = accept(directory);
     query[0] = peer.line();
     while (!peer.line().isEmpty()) {
