End bad clients in time with ERR, and let the oldest silent ones make room for usual ones

Cause: Proxy.accept stopped accepting at the limit, so silent clients held all places for FIRST_LINE, 10 s anew with each PING; what came before UP was kept in Proxy.read and relayed; Opening dropped the id.

Now Lobby counts who holds descriptors, a client twice from its first line on, and ends the oldest connection that nothing is owed. 2 s after connecting a first line must be whole. Lines before UP, an id in use, classes and tenants that the settings lack, bytes outside ASCII, a wait over 60 s and a provider that stays unknown get ERR. After an answer no more than 64 KB are read.

--- a/src/main/java/amberhoist/config/Config.java
+++ b/src/main/java/amberhoist/config/Config.java
@@ -20,22 +20,16 @@
 /**
  * What the proxy is told at its start.
  *
- * @param dial a provider connection must stand within this, microseconds
- * @param longest the longest time that a client waits, microseconds
  * @param sockets the most file descriptors
  * @param known the directory's list as this proxy last had it
+ * @param limits what the core keeps to
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-    int sockets, News known, Settings settings, long dial, long longest) {
+    int sockets, News known, Settings settings, Limits limits) {
   private static final int SOCKETS = 1024;
   private static final long DIAL = 250_000;
   private static final long LONGEST = 3_000_000;
 
-  /** What the core keeps to. */
-  public Limits limits() {
-    return new Limits(dial, longest);
-  }
-
   /** Reads the file that {@code LB_CONFIG} names; other variables take the place of what it says. */
   public static Config load(Map<String, String> environment, Clock clock) throws BadConfig {
     String file = environment.get("LB_CONFIG");
@@ -105,7 +99,8 @@
     }
     return new Config(name == null ? "" : name, Address.parse(listen), Address.parse(discovery),
         seed == null ? System.nanoTime() : Long.parseUnsignedLong(seed, 16), sockets, known, read,
-        settings.whole("limits.dial-timeout", DIAL), longest == 0 ? LONGEST : longest);
+        new Limits(settings.whole("limits.dial-timeout", DIAL), longest == 0 ? LONGEST : longest,
+            settings.names("lanes"), settings.names("tenants")));
   }
 
   private static void require(boolean holds, String fault) {
--- a/src/main/java/amberhoist/core/Core.java
+++ b/src/main/java/amberhoist/core/Core.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import amberhoist.Balancer;
 import amberhoist.Balancer.ListKind;
 import amberhoist.Balancer.Outcome;
@@ -29,8 +30,15 @@
    *
    * @param dial a provider connection not standing by then could not connect
    * @param longest the longest time that a client waits
+   * @param types the classes that the settings name; none means any
+   * @param tenants the tenants that they name; none means any
    */
-  public record Limits(long dial, long longest) {}
+  public record Limits(long dial, long longest, Set<String> types, Set<String> tenants) {
+    boolean names(Opening opening) {
+      return (types.isEmpty() || types.contains(opening.type()))
+          && (tenants.isEmpty() || opening.tenant() != null && tenants.contains(opening.tenant()));
+    }
+  }
 
   /** Answers leave this long before the client gives up: its clock started before the line came in. */
   static final long ANSWER_MARGIN = 10_000;
@@ -39,6 +47,7 @@
   private static final long STALL = 250_000; // a timer this late tells of the proxy, not of a provider
   private static final double MILLI = 1000; // microseconds
   private static final long HANDOVER_PAUSE = 250_000; // between calls for a connection handed over
+  private static final long HANDOVER_DOUBT = 2_000_000; // a provider unknown or unwilling for this long
   private static final long HANDOVER_MOST = 40_000_000; // by then it is lost
   private static final long STILL_ROUTED = 450_000; // into a stop: the front may still send clients here
   private static final long STOP_STEP = 20_000; // between steps of moving clients while stopping
@@ -121,12 +130,16 @@
       it.request = new Request(number, opening.type(), opening.tenant(), opening.key(), deadline,
           opening.hint(), opening.group(), opening.retry(), opening.returning());
       it.deadlineTimer = wheel.arm(deadline, at -> deadline(at, number));
-      if (it.handover != null) {
-        counters.add(Count.HANDOVERS);
-        call(number, it, it.handover, deadline);
+      if (!limits.names(opening)) {
+        // Guards against an invocation that no provider can use taking a place, and the trust in one.
+        counters.add(Count.MALFORMED);
+        fail(number);
       } else if (refusing) {
         counters.add(Count.INVOCATIONS);
         refuse(number, STOP_ADVICE);
+      } else if (it.handover != null) {
+        counters.add(Count.HANDOVERS);
+        call(number, it, it.handover, deadline);
       } else {
         counters.add(Count.INVOCATIONS);
         it.balanced = true;
@@ -207,10 +220,15 @@
 
   private void endCall(long number, Invocation it, Outcome outcome) {
     count(outcome);
+    boolean unwilling = it.provider == SlotTable.NONE || outcome == Outcome.ERROR || outcome == Outcome.FULL;
     it.cancelCallTimers();
     commands.abandon(it.provider); // before any next call: never two out
     it.provider = SlotTable.NONE;
     it.phase = Phase.WAITING;
+    if (!it.balanced && unwilling && now - it.arrived >= HANDOVER_DOUBT) {
+      fail(number); // guards against waiting for a provider that never was, or never had this connection
+      return;
+    }
     if (!it.balanced) {
       wheel.arm(now + HANDOVER_PAUSE, at -> event(at, () -> {
         if (invocations.get(number) == it && it.phase == Phase.WAITING) {
--- a/src/main/java/amberhoist/drill/SettingsReader.java
+++ b/src/main/java/amberhoist/drill/SettingsReader.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import amberhoist.Balancer.AttemptBudget;
 import amberhoist.Balancer.Effect;
 import amberhoist.Balancer.Nines;
@@ -122,6 +124,15 @@
     return Math.round(number(key, otherwise));
   }
 
+  /** The names of the entries of a list of objects, such as {@code tenants}. */
+  public Set<String> names(String list) {
+    Set<String> names = new HashSet<>();
+    for (int i = 0; flat.containsKey(list + '.' + i); i++) {
+      names.add(flat.getOrDefault(list + '.' + i + ".name", ""));
+    }
+    return Set.copyOf(names);
+  }
+
   private double number(String key, double otherwise) {
     String text = flat.get(key);
     if (text == null || text.equals("null")) {
--- a/src/main/java/amberhoist/front/Opening.java
+++ b/src/main/java/amberhoist/front/Opening.java
@@ -8,6 +8,7 @@
  * The line with which a client opens a connection. It goes on to a provider as it came, but for {@code d}, so
  * its text is kept beside what was read from it.
  *
+ * @param id new for every connection
  * @param key the flow's key
  * @param type the class
  * @param tenant the account, null where there is none
@@ -21,18 +22,20 @@
  * @param waitFrom where in the text the figure of {@code d} begins
  * @param waitTo and where it ends
  */
-public record Opening(String key, String type, String tenant, String group, long waitMillis, double hint,
-    boolean retry, boolean returning, String provider, String text, int waitFrom, int waitTo) {
+public record Opening(String id, String key, String type, String tenant, String group, long waitMillis,
+    double hint, boolean retry, boolean returning, String provider, String text, int waitFrom, int waitTo) {
   /** The longest line of the protocol, its end included. */
   public static final int LONGEST = 4096;
 
   private static final String VERB = "OPEN ";
-  private static final int WAIT_DIGITS = 9;
+  private static final int WAIT_MOST = 60_000; // no deployment waits that long for a new connection
+  private static final int WAIT_DIGITS = 9; // for one handed over, whose figure may be any
+  private static final double HINT_MOST = 1e9; // microseconds a second: a thousand cores
 
   /** Reads a first line given without its CRLF. */
   public static Opening parse(String line) throws MalformedLine {
     for (int i = 0; i < line.length(); i++) {
-      require(line.charAt(i) >= ' ' && line.charAt(i) != 0x7f, "a control character");
+      require(line.charAt(i) >= ' ' && line.charAt(i) < 0x7f, "a character that is not plain ASCII");
     }
     require(line.startsWith(VERB), "no OPEN");
     int idEnd = line.indexOf(' ', VERB.length());
@@ -54,9 +57,12 @@
       at = end + 1;
     }
     require(values.containsKey("c"), "no class");
+    require(!"".equals(values.get("at")), "at names no provider");
     require(waitFrom >= 0, "no d");
     String wait = values.get("d");
-    return new Opening(line.substring(idEnd + 1, keyEnd), values.get("c"), values.get("t"), values.get("g"),
+    require(whole(wait) <= WAIT_MOST || values.containsKey("at"), "d is longer than anybody waits");
+    return new Opening(line.substring(VERB.length(), idEnd), line.substring(idEnd + 1, keyEnd),
+        values.get("c"), values.get("t"), values.get("g"),
         whole(wait), number(values.get("h")), "1".equals(values.get("r")), "1".equals(values.get("again")),
         values.get("at"), line, waitFrom, waitFrom + wait.length());
   }
@@ -80,7 +86,7 @@
     }
     try {
       double value = Double.parseDouble(text);
-      require(value >= 0 && value < Double.POSITIVE_INFINITY, "a hint out of range");
+      require(value >= 0 && value <= HINT_MOST, "a hint out of range");
       return value;
     } catch (NumberFormatException fault) {
       throw new MalformedLine("h is not a number");
--- a/src/main/java/amberhoist/metrics/Counters.java
+++ b/src/main/java/amberhoist/metrics/Counters.java
@@ -12,6 +12,7 @@
     ACCEPT_FAILED,
     PINGED,
     MALFORMED,
+    EVICTED,
     CROWDED_OUT,
     INVOCATIONS,
     HANDOVERS,
--- a/src/main/java/amberhoist/net/Connection.java
+++ b/src/main/java/amberhoist/net/Connection.java
@@ -34,6 +34,9 @@
   ByteBuffer in = ByteBuffer.allocate(FIRST_BUFFER);
   int scanned; // bytes of the buffer known to hold no line end
   int queued;
+  int pings;
+  int discarded; // bytes that came after its answer
+  long linger = Proxy.LINGER;
   boolean connected;
   boolean reading;
   boolean writing;
--- a/src/main/java/amberhoist/net/Proxy.java
+++ b/src/main/java/amberhoist/net/Proxy.java
@@ -30,17 +30,21 @@
   private static final byte[] PONG = ascii("PONG\r\n");
   private static final byte[] ERR = ascii("ERR\r\n");
   private static final byte[] MOVE = ascii("MOVE\r\n");
-  private static final long FIRST_LINE = 10_000_000; // a first line must be whole by then
-  private static final long LINGER = 1_000_000; // for the peer to end its side after ours
+  private static final long FIRST_LINE = 2_000_000; // after connecting, whatever else the client sends
+  private static final int PINGS_MOST = 16; // on one connection: their answers pile up if nobody reads them
+  static final long LINGER = 1_000_000; // for the peer to end its side after ours
+  private static final long BAD_LINGER = 250_000; // after what cannot be read
+  private static final int DISCARD_MOST = 1 << 16; // taken in after the answer; the rest is not read
   private static final long ACCEPT_PAUSE = 50_000; // before another accept when one failed
   private static final int BACKLOG = 1024;
-  private static final int OWN_DESCRIPTORS = 48; // the runtime's files, the group's, the watch
-  private static final int SPARE_DESCRIPTORS = 32; // to answer clients with that cannot be served
+  private static final int OWN_DESCRIPTORS = 24; // 12 of the runtime and the group, two watches, the file
   private static final long CROWDED_ADVICE = 500_000;
 
   private final Loop loop;
   private final Counters counters;
-  private int most;
+  private final Lobby lobby = new Lobby(this::evict);
+  private final Map<String, Long> ids = new HashMap<>(); // of the clients held or joined
+  private long mostAdvice = Long.MAX_VALUE;
   private final SlotTable<Connection> connections = new SlotTable<>();
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private Core core;
@@ -102,16 +106,19 @@
     };
   }
 
-  /** A proxy on this loop with so many descriptors for all it does; {@link #open} makes it serve. */
-  public Proxy(Loop loop, Counters counters, int descriptors) {
-    limit(descriptors);
+  /** A proxy on this loop; {@link #limit} says what it may hold and {@link #open} makes it serve. */
+  public Proxy(Loop loop, Counters counters) {
     this.loop = loop;
     this.counters = counters;
   }
 
-  /** Holds so many descriptors at most from now on; what is held above that is not cut off. */
-  public void limit(int descriptors) {
-    most = Math.max(2, descriptors - OWN_DESCRIPTORS);
+  /**
+   * Holds so many descriptors at most from now on, and tells rejected clients to wait no longer than this.
+   * Connections of invocations above that limit are not cut off.
+   */
+  public void limit(int descriptors, long longestAdvice) {
+    lobby.limit(Math.max(18, descriptors - OWN_DESCRIPTORS));
+    mostAdvice = longestAdvice;
   }
 
   /** Names the core to translate for, and what makes sure that the directory is watched. */
@@ -150,10 +157,10 @@
     if (!server.isOpen()) {
       return;
     }
-    if (connections.size() >= most) {
-      acceptLater(); // better off waiting in the backlog than cut off for want of descriptors
-    } else {
+    if (lobby.room(1)) {
       server.accept(null, accepted);
+    } else {
+      acceptLater(); // better off waiting in the backlog than cut off for want of descriptors
     }
   }
 
@@ -165,17 +172,16 @@
     counters.add(Count.ACCEPTED);
     Connection c = new Connection(channel, Role.NEW);
     c.number = connections.add(c);
+    lobby.arrived(c);
     c.connected = true;
     noDelay(c);
-    firstLineTimer(c);
+    c.timer = loop.wheel().arm(loop.now() + FIRST_LINE, at -> malformed(c));
     read(c);
   }
 
-  private void firstLineTimer(Connection c) {
-    if (c.timer != null) {
-      c.timer.cancel();
-    }
-    c.timer = loop.wheel().arm(loop.now() + FIRST_LINE, at -> malformed(c));
+  private void evict(Connection c) {
+    counters.add(Count.EVICTED);
+    drop(c);
   }
 
   private static void noDelay(Connection c) {
@@ -189,8 +195,8 @@
   private void read(Connection c) {
     Connection peer = connections.get(c.peer);
     boolean held = c.joined && peer != null && peer.queued > Connection.QUEUE_MOST;
-    boolean room = c.in.hasRemaining(); // none: a client sends much before it is answered, and has to wait
-    if (!c.reading && !c.inputEnded && !held && room && connections.get(c.number) == c) {
+    boolean wanted = c.discarded <= DISCARD_MOST;
+    if (!c.reading && !c.inputEnded && !held && wanted && connections.get(c.number) == c) {
       c.reading = true;
       c.channel.read(c.in, c.number, read);
     }
@@ -205,6 +211,11 @@
     if (c.finishing) {
       c.in.clear(); // whatever still comes is of no interest
       c.scanned = 0;
+      c.discarded += bytes;
+    } else if (c.role == Role.CLIENT && !c.joined) {
+      // Guards against lines for a provider that never saw them: a client waits after its first one.
+      malformed(c);
+      core.clientLeft(loop.now(), c.invocation);
     } else {
       lines(c);
     }
@@ -240,18 +251,29 @@
       malformed(c);
     } else if (text.equals("PING")) {
       counters.add(Count.PINGED);
-      firstLineTimer(c);
-      send(c, PONG);
+      if (++c.pings > PINGS_MOST) {
+        malformed(c);
+      } else {
+        send(c, PONG);
+      }
     } else {
+      Opening opening;
       try {
-        c.opening = Opening.parse(text);
+        opening = Opening.parse(text);
       } catch (MalformedLine fault) {
         malformed(c);
         return;
       }
+      if (c.in.position() > 0 || ids.containsKey(opening.id())) {
+        malformed(c); // sent more without waiting, or took the id of a client that is still here
+        return;
+      }
       c.timer.cancel();
+      c.opening = opening;
       c.role = Role.CLIENT;
-      if (connections.size() + SPARE_DESCRIPTORS > most && c.opening.provider() == null) {
+      lobby.taken(c);
+      ids.put(opening.id(), c.number);
+      if (!lobby.room(0) || lobby.crowded() && opening.provider() == null) {
         counters.add(Count.CROWDED_OUT);
         reject(c.number, CROWDED_ADVICE); // a provider connection would take the last descriptors
         return;
@@ -268,6 +290,7 @@
 
   private void malformed(Connection c) {
     counters.add(Count.MALFORMED);
+    c.linger = BAD_LINGER;
     send(c, ERR);
     finish(c);
   }
@@ -325,7 +348,6 @@
     Connection client = connections.get(c.peer);
     if (c.joined && client != null) {
       send(client, line);
-      lines(client); // what it sent without waiting
       read(client);
     }
   }
@@ -383,7 +405,7 @@
       drop(c);
     } else {
       c.timer.cancel();
-      c.timer = loop.wheel().arm(loop.now() + LINGER, at -> drop(c));
+      c.timer = loop.wheel().arm(loop.now() + c.linger, at -> drop(c));
     }
   }
 
@@ -391,6 +413,8 @@
   private void finish(Connection c) {
     if (!c.finishing && connections.get(c.number) == c) {
       c.finishing = true;
+      lobby.ends(c);
+      forget(c);
       if (c.timer != null) {
         c.timer.cancel();
       }
@@ -403,10 +427,19 @@
   private void drop(Connection c) {
     if (connections.get(c.number) == c) {
       connections.remove(c.number);
+      lobby.left(c);
+      forget(c);
       c.close();
     }
   }
 
+  /** The id is free again. */
+  private void forget(Connection c) {
+    if (c.role == Role.CLIENT) {
+      ids.remove(c.opening.id(), c.number);
+    }
+  }
+
   private void reset(Connection c) {
     Resets.arm(c.channel);
     drop(c);
@@ -480,6 +513,7 @@
       c.invocation = invocation;
       c.peer = client;
       c.opening = from.opening;
+      lobby.taken(c);
       noDelay(c);
       c.channel.connect(address, c.number, connected);
       return c.number;
@@ -540,7 +574,7 @@
 
   @Override
   public void reject(long client, long retryAfter) {
-    answerAndFinish(client, rejection(retryAfter));
+    answerAndFinish(client, rejection(Math.min(retryAfter, mostAdvice)));
   }
 
   @Override
--- a/src/main/java/amberhoist/net/Service.java
+++ b/src/main/java/amberhoist/net/Service.java
@@ -29,10 +29,11 @@
 
   private Service(Config config) throws IOException {
     loop = new Loop();
-    proxy = new Proxy(loop, counters, config.sockets());
+    proxy = new Proxy(loop, counters);
     core = new Core(new Policy(), loop.wheel(), proxy, counters, config.limits());
     directory = new DirectoryWatch(loop, core, proxy, counters, config.discovery(), config.known().index(),
         config.seed());
+    proxy.limit(config.sockets(), config.settings().maxRetryAfter());
     proxy.wire(core, directory::ensure);
   }
 
@@ -77,7 +78,7 @@
       Config config = Config.reload(environment, loop.clock());
       task = () -> {
         counters.add(Count.RELOADS);
-        proxy.limit(config.sockets());
+        proxy.limit(config.sockets(), config.settings().maxRetryAfter());
         core.configure(loop.now(), config.settings(), config.limits());
         directory.move(config.discovery());
         System.err.println("configuration read again, directory at " + config.discovery());
