Set clients up through a window that latency sets, and move them late in a stop

Ruled out: a sick provider (errors came from all five), cold budgets (no provider was barred).

Policy.throttled() let any number out while trust held. What is over it waits in its turn, up to half of the client's wait. Core.stop() begins moves after 1.7 s and ends them 0.55 s before the kill.

--- a/src/main/java/amberhoist/Policy.java
+++ b/src/main/java/amberhoist/Policy.java
@@ -58,6 +58,12 @@
   static final double TRUST_MOST = 20; // set-ups that may fail, net, before set-ups are throttled: half of it
   static final double TRUST_GAIN = 1.5; // for each that stands: recovery doubles the set-ups, and no faster
   static final double TRUST_DRIP = 0.2e-6; // a microsecond: a trial each 5 s of many balancers is little load
+  static final double WINDOW_FIRST = 10; // set-ups out at once, until their latency says otherwise
+  static final double WINDOW_LEAST = 2;
+  static final double WINDOW_MOST = 100;
+  static final double WINDOW_CUT = 0.7; // of the window, when set-ups grow slow
+  static final double WINDOW_SLOW = 1.0; // of the shortest aim: a slower set-up has queued somewhere
+  static final double HOLD_PART = 0.5; // of a client's wait that a request may queue: it must still be set up
   static final long YOUNG = 3_000_000; // a reset before this age is a failed set-up: servers shed the newest
 
   private static final RequestClass UNKNOWN = new RequestClass("", Effect.UNSAFE, Scope.CELL, 0, 0, 1, 0);
@@ -86,6 +92,9 @@
   private double trust = TRUST_MOST;
   private long trustAt;
   private int settingUp;
+  private double window = WINDOW_FIRST;
+  private long cutAt;
+  private double setUpAim = Double.MAX_VALUE;
   private double slowShare; // of the servers with own connections, over a while
   private long lookAt;
   private long nextSweep;
@@ -124,7 +133,9 @@
     settings = given;
     types.clear();
     shortestAim = Double.MAX_VALUE;
+    setUpAim = Double.MAX_VALUE;
     for (RequestClass type : given.classes()) {
+      setUpAim = Math.min(setUpAim, type.aim());
       types.put(type.name(), type);
       shortestAim = type.messageAim() > 0 ? Math.min(shortestAim, type.messageAim()) : shortestAim;
     }
@@ -263,10 +274,12 @@
       answer(now, job);
       return;
     }
-    Node node = throttled(now) ? null : pick(now, job);
+    boolean queued = throttled(now); // its turn comes, so it may wait longer than one that nobody can take
+    Node node = queued ? null : pick(now, job);
+    long waited = now - job.arrived;
     if (node != null) {
       send(now, job, node, left);
-    } else if (now - job.arrived < job.type.aim()) {
+    } else if (waited < job.type.aim() || queued && waited < HOLD_PART * (waited + left)) {
       held.add(job);
     } else {
       answer(now, job);
@@ -280,7 +293,31 @@
   private boolean throttled(long now) {
     trust = Math.min(TRUST_MOST, trust + TRUST_DRIP * (now - trustAt));
     trustAt = now;
-    return trust < TRUST_MOST / 2 && trust < 1 + settingUp;
+    return settingUp >= window || trust < TRUST_MOST / 2 && trust < 1 + settingUp;
+  }
+
+  /**
+   * How many set-ups may be out. Guards against all clients coming back at once, as after a restart: what the
+   * shared call cannot take queues there until attempts time out, and each of those was work for nothing. A
+   * request held here instead costs nothing and is set up in its turn.
+   */
+  private void learnWindow(long now, boolean slow, long latency) {
+    if (!slow) {
+      window = Math.min(WINDOW_MOST, window + 1 / window);
+    } else if (now - cutAt > latency) { // those sent before the last cut say nothing new
+      window = Math.max(WINDOW_LEAST, window * WINDOW_CUT);
+      cutAt = now;
+    }
+  }
+
+  /** Places those held longest while more set-ups may be out. */
+  private void release(long now) {
+    for (int left = held.size(); left > 0 && !throttled(now); left--) {
+      Job job = held.remove();
+      if (!job.answered) {
+        place(now, job);
+      }
+    }
   }
 
   /** Rule 5: whether one more attempt beyond a first stays within the budget of the window that ends now. */
@@ -575,6 +612,8 @@
       settingUp--;
       job.node.settingUp--;
       job.node.strikes = Math.max(0, job.node.strikes - 1);
+      learnWindow(now, latency > WINDOW_SLOW * setUpAim, latency);
+      release(now);
     }
   }
 
@@ -593,6 +632,9 @@
     decay(now);
     rate += job.open && outcome == Outcome.SERVED ? 1 / MEMORY : 0;
     boolean failedSetUp = !job.open && outcome != Outcome.SERVED && outcome != Outcome.CANCELLED;
+    if (failedSetUp) {
+      learnWindow(now, true, latency);
+    }
     if (failedSetUp || outcome == Outcome.RESET) {
       reset(job);
       job.failedOn = job.node;
@@ -604,6 +646,7 @@
     } else {
       place(now, job);
     }
+    release(now);
   }
 
   /** A failed set-up or a broken connection resets the entry, and this request's picks skip the map. */
--- a/src/main/java/amberhoist/core/Core.java
+++ b/src/main/java/amberhoist/core/Core.java
@@ -54,7 +54,9 @@
   private static final long STOP_ADVICE = 300_000; // by then the front sends a rejected client elsewhere
   private static final long STOP_LONGEST = 3_000_000; // a longer deadline counts as this when stopping
   private static final long STOP_LEAST = 1_000_000; // late arrivals still find someone who answers
-  private static final long STOP_TAIL = 400_000; // for the last answers, and the connections closed last
+  private static final long STOP_HOLD = 1_700_000; // before clients are moved: see stop()
+  private static final double STOP_HOLD_PART = 0.55; // of the time there is, where that is short
+  private static final long STOP_TAIL = 150_000; // of the 0.7 s until the kill, for the last moves
 
   private final Balancer balancer;
   private final Wheel wheel;
@@ -484,19 +486,23 @@
 
   /**
    * Stops in good order: serves on while the front may still send here, then moves all standing clients at an
-   * even pace, so that they do not all come back to the others at once, and rejects what still arrives.
+   * even pace, so that they do not all come back to the others at once, and rejects what still arrives. The
+   * moves begin late: where proxies are restarted in turn, the one before may only just be starting, and a
+   * client that nobody takes in is worse off than one that stays.
    *
    * @param done is run when nothing is owed and nobody is joined any more
    */
   public void stop(long time, Runnable done) {
     stopped = done;
-    long end = time + Math.min(limits.longest(), STOP_LONGEST) - STOP_TAIL;
-    wheel.arm(time + STILL_ROUTED, at -> stopStep(at, Math.min(end, time + STOP_LEAST), end));
+    long longest = Math.min(limits.longest(), STOP_LONGEST);
+    long hold = Math.max(STILL_ROUTED, Math.min(STOP_HOLD, (long) (STOP_HOLD_PART * longest)));
+    long end = time + longest + STOP_TAIL;
+    wheel.arm(time + STILL_ROUTED, at -> event(at, () -> refusing = true));
+    wheel.arm(time + hold, at -> stopStep(at, Math.min(end, time + STOP_LEAST), end));
   }
 
   private void stopStep(long time, long least, long end) {
     event(time, () -> {
-      refusing = true;
       List<Long> joined = new ArrayList<>();
       List<Long> owed = new ArrayList<>();
       invocations.forEach(n -> (invocations.get(n).phase == Phase.UP ? joined : owed).add(n));
--- a/src/test/java/amberhoist/PolicyTest.java
+++ b/src/test/java/amberhoist/PolicyTest.java
@@ -46,6 +46,27 @@
     assertEquals(Set.of("a", "b", "c"), seen);
   }
 
+  @Test
+  void clientsBackAllAtOnceAreSetUpInTurn() {
+    Bench bench = safe("a", "b", "c", "d");
+    int first = (int) Policy.WINDOW_FIRST;
+    for (int i = 0; i < 3 * first; i++) {
+      bench.ask(i, "client" + i, null);
+    }
+    assertEquals(first, bench.count("send"), "no more at once than the shared call may take");
+    bench.pass(50 * MS);
+    bench.balancer.opened(bench.now, 0, 0, 50 * MS);
+    assertEquals(1, bench.count("send", first), "the one held longest follows at once");
+    assertEquals(0, bench.count("send", first + 2));
+    bench.balancer.opened(bench.now, 1, 0, 400 * MS);
+    bench.balancer.opened(bench.now, 2, 0, 400 * MS);
+    assertTrue(bench.count("send") < first + 3, "set-ups have become slow: fewer may be out");
+    bench.pass(500 * MS);
+    assertEquals(0, bench.count("refuse", first + 2), "its turn comes: it may wait longer than its aim");
+    bench.pass(200 * MS);
+    assertEquals(1, bench.count("refuse", first + 2), "but not until there is no time left to set it up");
+  }
+
   @Test
   void loadCheckTakesTheOneAfterAndSkipsBoth() {
     Bench bench = safe("a", "b", "c");
--- a/src/test/java/amberhoist/net/DirectoryStoriesTest.java
+++ b/src/test/java/amberhoist/net/DirectoryStoriesTest.java
@@ -162,6 +162,7 @@
       called.send("UP 3\r\n");
       assertEquals("still served", "UP 3", late.line());
       assertEquals("MOVE", standing[0].line());
+      assertTrue("late: another proxy may only just be starting", System.nanoTime() - start > 1_500_000_000L);
       assertEquals("FIN", standing[0].line());
       assertEquals("FIN", standing[1].line());
       assertEquals("MOVE", late.line());
