Answer a request that two servers fail, and call a provider silent after 0.5 s

Policy.ended() struck whoever answered ERR. Now a second ERR is taken for the request's fault: it is answered, and the first server's strike is taken back.

Two lines unanswered and 0.5 s without any is silence now.

--- a/src/main/java/amberhoist/Ledger.java
+++ b/src/main/java/amberhoist/Ledger.java
@@ -66,5 +66,7 @@
     Server ranOn;
     Node node;
     Node failedOn;
+    int errors;
+    Node accused; // struck for this request's first error
   }
 }
--- a/src/main/java/amberhoist/Policy.java
+++ b/src/main/java/amberhoist/Policy.java
@@ -639,10 +639,19 @@
       reset(job);
       job.failedOn = job.node;
       trust = Math.max(0, trust - (job.open && now - job.openedAt >= YOUNG ? 0 : 1));
-      strike(now, job.node);
+      job.errors += outcome == Outcome.ERROR ? 1 : 0;
+      // Guards against one request that no server can use striking them all.
+      if (job.errors < 2) {
+        strike(now, job.node);
+      } else if (job.errors == 2 && job.accused != null) {
+        job.accused.strikes = Math.max(0, job.accused.strikes - 1);
+      }
+      job.accused = outcome == Outcome.ERROR && job.errors == 1 ? job.node : null;
     }
     if (closed || job.open || job.answered) {
       finish(job);
+    } else if (job.errors > 1) {
+      answer(now, job);
     } else {
       place(now, job);
     }
--- a/src/main/java/amberhoist/core/Pulse.java
+++ b/src/main/java/amberhoist/core/Pulse.java
@@ -10,8 +10,11 @@
  * connection by itself when the whole machine has vanished or hung: its silence shows sooner on all of them.
  */
 final class Pulse {
-  /** A sound provider returns lines within milliseconds; several not returned for this long tell enough. */
-  static final long QUIET = 1_200_000;
+  /**
+   * A sound provider returns lines within 50 ms at any load, as measured; several not returned for this long
+   * tell enough, also when this process stood still for a moment.
+   */
+  static final long QUIET = 500_000;
   private static final int WITNESSES = 2;
 
   private final Set<Long> joined = new LinkedHashSet<>();
--- a/src/test/java/amberhoist/PolicyTest.java
+++ b/src/test/java/amberhoist/PolicyTest.java
@@ -67,6 +67,18 @@
     assertEquals(1, bench.count("refuse", first + 2), "but not until there is no time left to set it up");
   }
 
+  @Test
+  void requestThatTwoServersFailIsAnsweredAndStrikesNeither() {
+    Bench bench = safe("a", "b");
+    String first = bench.ask(1, "bad", null);
+    bench.fail(1, 0, Outcome.ERROR);
+    assertEquals(2, bench.count("send", 1), "another server may do better");
+    bench.fail(1, 1, Outcome.ERROR);
+    assertEquals(1, bench.count("refuse", 1), "the fault is the request's: no third attempt");
+    Set<String> used = Set.of(bench.open(2, "x", null), bench.open(3, "y", null));
+    assertTrue(used.contains(first) && used.size() == 2, "both go on serving others");
+  }
+
   @Test
   void loadCheckTakesTheOneAfterAndSkipsBoth() {
     Bench bench = safe("a", "b", "c");
--- a/src/test/java/amberhoist/net/StoriesTest.java
+++ b/src/test/java/amberhoist/net/StoriesTest.java
@@ -272,7 +272,7 @@
       for (Peer[] pair : there) {
         assertEquals("MOVE", pair[0].line());
       }
-      assertTrue(System.nanoTime() - start < 2_500_000_000L);
+      assertTrue(System.nanoTime() - start < 1_100_000_000L);
       elsewhere[0].send("M 1\r\n");
       assertEquals("M 1", elsewhere[1].line());
     }
