--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 all: build
 
 build: ## the runnable jar under target/
-	mvn -B -q -DskipTests package
+	$(call key,build)
 
 test: ## all tests, as CI runs them
 	mvn -B verify
--- /dev/null
+++ b/src/main/java/amberhoist/Rehearsal.java
@@ -0,0 +1,41 @@
+package amberhoist;
+
+import amberhoist.clock.Clock;
+import amberhoist.config.Config;
+import amberhoist.config.Config.BadConfig;
+import amberhoist.net.Service;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * A short life of the proxy on loopback, run once by the build so that the JVM can archive the classes it
+ * loads. Guards against slow restarts: with part of a core, half of the start went into loading classes, and
+ * while proxies are restarted in turn clients wait for the one that starts.
+ */
+final class Rehearsal {
+  private Rehearsal() {}
+
+  /** Serves a PING and one invocation, which no provider answers, by this configuration; then stops. */
+  static void run(String file) throws BadConfig, IOException {
+    Map<String, String> environment = Map.of("LB_CONFIG", file, "LB_LISTEN", "127.0.0.1:0",
+        "LB_DISCOVERY", "127.0.0.1:1");
+    Service service = Service.start(Config.load(environment, new Clock()));
+    try (Socket client = new Socket(InetAddress.getLoopbackAddress(), service.address().getPort())) {
+      client.setSoTimeout(10_000);
+      BufferedReader answers = new BufferedReader(
+          new InputStreamReader(client.getInputStream(), StandardCharsets.ISO_8859_1));
+      client.getOutputStream().write("PING\r\n".getBytes(StandardCharsets.ISO_8859_1));
+      System.err.println("rehearsal: " + answers.readLine());
+      client.getOutputStream().write("OPEN 1 1 c=scan-tiles,t=acme,d=200,g=1\r\n"
+          .getBytes(StandardCharsets.ISO_8859_1));
+      System.err.println("rehearsal: " + answers.readLine());
+    }
+    service.reload(environment);
+    service.stop();
+  }
+}
--- a/src/main/java/amberhoist/net/Loop.java
+++ b/src/main/java/amberhoist/net/Loop.java
@@ -56,11 +56,11 @@
     running = false;
   }
 
-  /** One fault must not end the loop, nor go unseen. */
+  /** One fault must not end the loop, nor go unseen; so too when memory ran out for one task. */
   private static void guard(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException | AssertionError fault) {
+    } catch (RuntimeException | Error fault) {
       System.err.println("fault: " + fault);
       fault.printStackTrace();
     }
