Fill three homes a group to 1.5 of their due part, so that moved clients do not jam one

At fault: BOUND 2.0 in Policy.walk() is each proxy's own measure, but all of them choose the same homes; and with two homes there is one to go to.

Three homes and 1.5 of the due part, and two connections more, lest small counts split a group.

Also: a story closed a provider before its client had left, a race that could strike the provider and fail.

--- a/src/main/java/amberhoist/Policy.java
+++ b/src/main/java/amberhoist/Policy.java
@@ -43,13 +43,14 @@
   static final double LOST_PART = 0.5; // of those not at home there, where messages are of no worth any more
   static final double CAP_GROWTH = 14_000_000; // a learned cap grows e-fold in this time while not slow
   static final double CAP_FLOOR = 0.5; // of the due load: with less than this, load is not the cause
-  static final double BOUND = 2.0; // a home takes at most this multiple of its due part of the own load
+  static final double BOUND = 1.5; // of its due part a home takes: all balancers fill the same homes
+  static final double GRAIN = 2; // and so many connections more: the first few tell nothing of parts
   static final double SPREAD = 1.5; // a group's homes hold this multiple of its load at their due part
   static final double SPAN = 0.5; // of a group's due servers, over which the starts of its walks are spread
   static final double GROUPS_KEPT = 0.85; // of the counts by group at each sweep: a minute's memory
   static final double PRIOR = 9; // requests' worth of belief that a group not seen yet is a tenth of all
   static final double GOLDEN = 0.618034; // step between the starts of a group's walks: spreads them evenly
-  static final int LEAST_HOMES = 2; // so that a group has somewhere to go when one home fails
+  static final int LEAST_HOMES = 3; // so that when one home fails its clients do not all go to one other
   static final long AVOID = 500_000; // a server with a failed set-up is passed by; doubled with each strike
   static final double HOMING = 2; // moves are made where half a crossing costs more than so many of them
   static final double HOMING_PART = 0.2; // of the crossing connections that are moved each second
@@ -357,7 +358,7 @@
       }
       double slow = slow(now, next);
       double due = totalLoad * next.weight / totalSize;
-      if (slow == 0 && next.load + job.load <= BOUND * (due + job.load)) {
+      if (slow == 0 && next.load + job.load <= BOUND * due + GRAIN * job.load) {
         if (job.group == null) {
           return checked(now, job, start + step);
         }
--- a/src/test/java/amberhoist/PolicyTest.java
+++ b/src/test/java/amberhoist/PolicyTest.java
@@ -79,6 +79,18 @@
     assertTrue(used.contains(first) && used.size() == 2, "both go on serving others");
   }
 
+  @Test
+  void clientsOfOneGroupDoNotCrowdOneServer() {
+    Bench bench = safe("a", "b", "c", "d", "e");
+    HashMap<String, Integer> open = new HashMap<>();
+    int total = 40;
+    for (int i = 0; i < total; i++) {
+      open.merge(bench.open(i, "client" + i, i < 28 ? "group" + i % 14 : "crowd"), 1, Integer::sum);
+    }
+    int most = open.values().stream().max(Integer::compare).orElseThrow();
+    assertTrue(most <= 1.5 * total / 5 + 2, "all proxies fill it so, and it must not be jammed: " + open);
+  }
+
   @Test
   void loadCheckTakesTheOneAfterAndSkipsBoth() {
     Bench bench = safe("a", "b", "c");
--- a/src/test/java/amberhoist/net/StoriesTest.java
+++ b/src/test/java/amberhoist/net/StoriesTest.java
@@ -162,6 +162,7 @@
         provider.send("UP 1\r\n");
         assertEquals("UP 1", usual.line());
         usual.socket.close();
+        assertEquals("it was the client that left", "FIN", provider.line());
         provider.socket.close();
       }
       assertTrue("the oldest goes first", List.of("FIN", "RESET").contains(silent.get(0).line()));
