--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,8 +1,21 @@
 #!/bin/sh
 # Starts the proxy in the memory that its configuration grants: `limits.memory_mb` covers all of the process, and
 # what the runtime itself takes (classes, code, threads) is about 24 MB of it. Under LB_CONFIG, as `serve` reads it.
-mb=$(sed -n 's/.*"memory_mb" *: *\([0-9][0-9]*\).*/\1/p' "${LB_CONFIG:-/dev/null}" 2>/dev/null | head -n 1)
-mb=${mb:-192}
+# It forks nothing: whoever started this sends signals to this very process, which becomes the proxy.
+mb=192
+if [ -r "${LB_CONFIG:-}" ]; then
+  while IFS= read -r line || [ -n "$line" ]; do
+    case $line in
+      *'"memory_mb"'*)
+        line=${line#*'"memory_mb"'}
+        line=${line#"${line%%[0-9]*}"}
+        line=${line%%[!0-9]*}
+        mb=${line:-$mb}
+        break
+        ;;
+    esac
+  done <"$LB_CONFIG"
+fi
 heap=$(((mb - 24) / 2))
 [ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 8 ] || heap=8
