Split the build into proxy and lab, and give the decision module a package of its own

Change: a parent POM with proxy/ (what runs in service) and lab/ (tools, empty so far). Imports are in ASCII order. No line of logic changes.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -20,7 +20,7 @@
 [ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 8 ] || heap=8
 # The build's archive of loaded classes makes for quick restarts; without it the proxy runs as well.
-archive=target/amberhoist.jsa
+archive=proxy/target/amberhoist.jsa
 [ -r "$archive" ] && archive=-XX:SharedArchiveFile=$archive || archive=-Xshare:auto
 exec java "-Xmx${heap}m" -Xms8m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto "$archive" \
-  -XX:-UsePerfData -XX:MaxDirectMemorySize=8m -jar target/amberhoist.jar serve
+  -XX:-UsePerfData -XX:MaxDirectMemorySize=8m -jar proxy/target/amberhoist.jar serve
--- a/src/main/java/amberhoist/Main.java
+++ b/proxy/src/main/java/amberhoist/cli/Main.java
@@ -1,8 +1,8 @@
-package amberhoist;
+package amberhoist.cli;
 
 import amberhoist.clock.Clock;
-import amberhoist.config.Config;
 import amberhoist.config.Config.BadConfig;
+import amberhoist.config.Config;
 import amberhoist.net.Service;
 import amberhoist.net.Signals;
 import java.io.IOException;
--- a/src/main/java/amberhoist/Rehearsal.java
+++ b/proxy/src/main/java/amberhoist/cli/Rehearsal.java
@@ -1,8 +1,8 @@
-package amberhoist;
+package amberhoist.cli;
 
 import amberhoist.clock.Clock;
-import amberhoist.config.Config;
 import amberhoist.config.Config.BadConfig;
+import amberhoist.config.Config;
 import amberhoist.net.Service;
 import java.io.BufferedReader;
 import java.io.IOException;
--- a/src/main/java/amberhoist/config/Config.java
+++ b/proxy/src/main/java/amberhoist/config/Config.java
@@ -2,8 +2,10 @@
 
 import amberhoist.clock.Clock;
 import amberhoist.core.Core.Limits;
+import amberhoist.decide.Balancer.Settings;
 import amberhoist.directory.Address;
 import amberhoist.directory.News;
+import amberhoist.drill.SettingsReader;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -14,8 +16,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import amberhoist.Balancer.Settings;
-import amberhoist.drill.SettingsReader;
 
 /**
  * What the proxy is told at its start.
--- a/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -1,21 +1,21 @@
 package amberhoist.core;
 
 import amberhoist.core.Invocation.Phase;
-import amberhoist.front.Opening;
-import amberhoist.metrics.Counters;
+import amberhoist.decide.Balancer.ListKind;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.decide.Balancer.Request;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer.Settings;
+import amberhoist.decide.Balancer;
+import amberhoist.front.line.Opening;
 import amberhoist.metrics.Counters.Count;
+import amberhoist.metrics.Counters;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import amberhoist.Balancer;
-import amberhoist.Balancer.ListKind;
-import amberhoist.Balancer.Outcome;
-import amberhoist.Balancer.Request;
-import amberhoist.Balancer.Server;
-import amberhoist.Balancer.Settings;
 
 /**
  * The core: events from the sockets and the clock go in, commands come out, and the balancer decides. It does
--- a/src/main/java/amberhoist/core/Invocation.java
+++ b/proxy/src/main/java/amberhoist/core/Invocation.java
@@ -1,7 +1,7 @@
 package amberhoist.core;
 
 import amberhoist.core.Wheel.Timer;
-import amberhoist.Balancer.Request;
+import amberhoist.decide.Balancer.Request;
 
 /** One client's invocation, from its first line to the end of its connection. */
 final class Invocation {
--- a/src/main/java/amberhoist/Balancer.java
+++ b/proxy/src/main/java/amberhoist/decide/Balancer.java
@@ -1,4 +1,4 @@
-package amberhoist;
+package amberhoist.decide;
 
 import java.util.List;
 
--- a/src/main/java/amberhoist/Ledger.java
+++ b/proxy/src/main/java/amberhoist/decide/Ledger.java
@@ -1,9 +1,9 @@
-package amberhoist;
+package amberhoist.decide;
 
+import amberhoist.decide.Balancer.Request;
+import amberhoist.decide.Balancer.RequestClass;
+import amberhoist.decide.Balancer.Server;
 import java.util.List;
-import amberhoist.Balancer.Request;
-import amberhoist.Balancer.RequestClass;
-import amberhoist.Balancer.Server;
 
 /** What {@link Policy} keeps in mind: plain records without behaviour, private to the module. */
 final class Ledger {
--- a/src/main/java/amberhoist/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -1,5 +1,10 @@
-package amberhoist;
+package amberhoist.decide;
 
+import amberhoist.decide.Ledger.Entry;
+import amberhoist.decide.Ledger.Group;
+import amberhoist.decide.Ledger.Job;
+import amberhoist.decide.Ledger.Node;
+import amberhoist.decide.Ledger.Usual;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -10,11 +15,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import amberhoist.Ledger.Entry;
-import amberhoist.Ledger.Group;
-import amberhoist.Ledger.Job;
-import amberhoist.Ledger.Node;
-import amberhoist.Ledger.Usual;
 
 /**
  * All decisions, by affinity polling. The interface, with every type, event and action, is in Balancer.java.
--- a/src/main/java/amberhoist/directory/News.java
+++ b/proxy/src/main/java/amberhoist/directory/News.java
@@ -1,6 +1,8 @@
 package amberhoist.directory;
 
 import amberhoist.clock.Clock;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer.State;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -10,8 +12,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import amberhoist.Balancer.Server;
-import amberhoist.Balancer.State;
 
 /**
  * One object from the directory: its whole list, or what has changed.
--- a/src/main/java/amberhoist/drill/Codec.java
+++ b/proxy/src/main/java/amberhoist/drill/Codec.java
@@ -1,5 +1,9 @@
 package amberhoist.drill;
 
+import amberhoist.decide.Balancer.ListKind;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -11,10 +15,6 @@
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
-import amberhoist.Balancer;
-import amberhoist.Balancer.ListKind;
-import amberhoist.Balancer.Outcome;
-import amberhoist.Balancer.Server;
 
 /** Reads batches, one JSON value a line, and writes one reply line for each. */
 final class Codec {
--- a/src/main/java/amberhoist/drill/Commands.java
+++ b/proxy/src/main/java/amberhoist/drill/Commands.java
@@ -1,9 +1,9 @@
 package amberhoist.drill;
 
+import amberhoist.decide.Balancer;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import amberhoist.Balancer;
 
 /** Writes one instance's actions into the reply as they are given. */
 final class Commands implements Balancer.Actions {
--- a/src/main/java/amberhoist/drill/Message.java
+++ b/proxy/src/main/java/amberhoist/drill/Message.java
@@ -1,15 +1,15 @@
 package amberhoist.drill;
 
+import amberhoist.decide.Balancer.ListKind;
+import amberhoist.decide.Balancer.Request;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer.Settings;
+import amberhoist.decide.Balancer.State;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import amberhoist.Balancer.ListKind;
-import amberhoist.Balancer.Request;
-import amberhoist.Balancer.Server;
-import amberhoist.Balancer.Settings;
-import amberhoist.Balancer.State;
 
 /** One message of the wire, read in place: the object is reused for the next one. */
 final class Message {
--- a/src/main/java/amberhoist/drill/Session.java
+++ b/proxy/src/main/java/amberhoist/drill/Session.java
@@ -1,10 +1,10 @@
 package amberhoist.drill;
 
+import amberhoist.decide.Balancer;
+import amberhoist.decide.Policy;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import amberhoist.Balancer;
-import amberhoist.Policy;
 
 /** Hosts one balancer for each instance number; the instances share nothing. */
 final class Session {
--- a/src/main/java/amberhoist/drill/SettingsReader.java
+++ b/proxy/src/main/java/amberhoist/drill/SettingsReader.java
@@ -1,5 +1,11 @@
 package amberhoist.drill;
 
+import amberhoist.decide.Balancer.AttemptBudget;
+import amberhoist.decide.Balancer.Effect;
+import amberhoist.decide.Balancer.Nines;
+import amberhoist.decide.Balancer.RequestClass;
+import amberhoist.decide.Balancer.Scope;
+import amberhoist.decide.Balancer.Settings;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
@@ -9,12 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import amberhoist.Balancer.AttemptBudget;
-import amberhoist.Balancer.Effect;
-import amberhoist.Balancer.Nines;
-import amberhoist.Balancer.RequestClass;
-import amberhoist.Balancer.Scope;
-import amberhoist.Balancer.Settings;
 
 /**
  * Reads the settings object of a start into {@link Settings}. Unknown keys are skipped; an absent key takes
--- a/src/main/java/amberhoist/front/MalformedLine.java
+++ b/proxy/src/main/java/amberhoist/front/line/MalformedLine.java
@@ -1,4 +1,4 @@
-package amberhoist.front;
+package amberhoist.front.line;
 
 /** A line that does not follow the platform's protocol. */
 public final class MalformedLine extends Exception {
--- a/src/main/java/amberhoist/front/Opening.java
+++ b/proxy/src/main/java/amberhoist/front/line/Opening.java
@@ -1,4 +1,4 @@
-package amberhoist.front;
+package amberhoist.front.line;
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
--- a/src/main/java/amberhoist/front/ProviderLine.java
+++ b/proxy/src/main/java/amberhoist/front/line/ProviderLine.java
@@ -1,4 +1,4 @@
-package amberhoist.front;
+package amberhoist.front.line;
 
 /** What a line from a provider means to the proxy, which passes it on whatever it means. */
 public enum ProviderLine {
--- a/src/main/java/amberhoist/net/Connection.java
+++ b/proxy/src/main/java/amberhoist/net/Connection.java
@@ -2,7 +2,7 @@
 
 import amberhoist.core.SlotTable;
 import amberhoist.core.Wheel.Timer;
-import amberhoist.front.Opening;
+import amberhoist.front.line.Opening;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
@@ -46,7 +46,7 @@
   boolean finished; // the sending side has been ended
   boolean inputEnded;
   /** How the provider said that the connection ends, null until it did. */
-  amberhoist.Balancer.Outcome farewell;
+  amberhoist.decide.Balancer.Outcome farewell;
   Runnable written; // runs when the queue has been written out
   Timer timer;
 
--- a/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
@@ -3,10 +3,11 @@
 import amberhoist.core.Core;
 import amberhoist.core.SlotTable;
 import amberhoist.core.Wheel.Timer;
+import amberhoist.decide.Balancer.ListKind;
 import amberhoist.directory.News;
 import amberhoist.directory.WatchParser;
-import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
+import amberhoist.metrics.Counters;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -15,7 +16,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
-import amberhoist.Balancer.ListKind;
 
 /**
  * Keeps a watch on the directory. A watch that fails, breaks or falls silent is followed by another after a
--- a/src/main/java/amberhoist/net/Proxy.java
+++ b/proxy/src/main/java/amberhoist/net/Proxy.java
@@ -3,11 +3,12 @@
 import amberhoist.core.Commands;
 import amberhoist.core.Core;
 import amberhoist.core.SlotTable;
-import amberhoist.front.MalformedLine;
-import amberhoist.front.Opening;
-import amberhoist.front.ProviderLine;
-import amberhoist.metrics.Counters;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.front.line.MalformedLine;
+import amberhoist.front.line.Opening;
+import amberhoist.front.line.ProviderLine;
 import amberhoist.metrics.Counters.Count;
+import amberhoist.metrics.Counters;
 import amberhoist.net.Connection.Role;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -20,7 +21,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.LongConsumer;
-import amberhoist.Balancer.Outcome;
 
 /**
  * The sockets of clients and providers: accepts, reads lines, writes queues, and translates between them and
--- a/src/main/java/amberhoist/net/Service.java
+++ b/proxy/src/main/java/amberhoist/net/Service.java
@@ -1,10 +1,11 @@
 package amberhoist.net;
 
-import amberhoist.config.Config;
 import amberhoist.config.Config.BadConfig;
+import amberhoist.config.Config;
 import amberhoist.core.Core;
-import amberhoist.metrics.Counters;
+import amberhoist.decide.Policy;
 import amberhoist.metrics.Counters.Count;
+import amberhoist.metrics.Counters;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -14,7 +15,6 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import amberhoist.Policy;
 
 /** A whole proxy: core and module on a loop, with sockets and directory round them. */
 public final class Service {
--- a/src/test/java/amberhoist/Bench.java
+++ b/proxy/src/test/java/amberhoist/decide/Bench.java
@@ -1,18 +1,18 @@
-package amberhoist;
-
+package amberhoist.decide;
+
+import amberhoist.decide.Balancer.AttemptBudget;
+import amberhoist.decide.Balancer.Effect;
+import amberhoist.decide.Balancer.ListKind;
+import amberhoist.decide.Balancer.Nines;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.decide.Balancer.Request;
+import amberhoist.decide.Balancer.RequestClass;
+import amberhoist.decide.Balancer.Scope;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer.Settings;
+import amberhoist.decide.Balancer.State;
 import java.util.ArrayList;
 import java.util.List;
-import amberhoist.Balancer.AttemptBudget;
-import amberhoist.Balancer.Effect;
-import amberhoist.Balancer.ListKind;
-import amberhoist.Balancer.Nines;
-import amberhoist.Balancer.Outcome;
-import amberhoist.Balancer.Request;
-import amberhoist.Balancer.RequestClass;
-import amberhoist.Balancer.Scope;
-import amberhoist.Balancer.Server;
-import amberhoist.Balancer.Settings;
-import amberhoist.Balancer.State;
 
 /** A balancer with recorded actions and a clock set by hand. */
 final class Bench implements Balancer.Actions {
--- a/src/test/java/amberhoist/DefencesTest.java
+++ b/proxy/src/test/java/amberhoist/decide/DefencesTest.java
@@ -1,27 +1,27 @@
-package amberhoist;
+package amberhoist.decide;
 
-import static amberhoist.Bench.MS;
-import static amberhoist.Bench.S;
-import static amberhoist.Bench.server;
-import static amberhoist.Bench.zoned;
+import static amberhoist.decide.Bench.MS;
+import static amberhoist.decide.Bench.S;
+import static amberhoist.decide.Bench.server;
+import static amberhoist.decide.Bench.zoned;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberhoist.decide.Balancer.AttemptBudget;
+import amberhoist.decide.Balancer.Effect;
+import amberhoist.decide.Balancer.Nines;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.decide.Balancer.RequestClass;
+import amberhoist.decide.Balancer.Scope;
+import amberhoist.decide.Balancer.Settings;
+import amberhoist.decide.Balancer.State;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import amberhoist.Balancer.AttemptBudget;
-import amberhoist.Balancer.Effect;
-import amberhoist.Balancer.Nines;
-import amberhoist.Balancer.Outcome;
-import amberhoist.Balancer.RequestClass;
-import amberhoist.Balancer.Scope;
-import amberhoist.Balancer.Settings;
-import amberhoist.Balancer.State;
 import org.junit.jupiter.api.Test;
 
 /** Lists that are wrong, the budget of attempts, cold servers of a large fleet, and crossings saved. */
--- a/src/test/java/amberhoist/PolicyTest.java
+++ b/proxy/src/test/java/amberhoist/decide/PolicyTest.java
@@ -1,9 +1,9 @@
-package amberhoist;
+package amberhoist.decide;
 
-import static amberhoist.Bench.MS;
-import static amberhoist.Bench.S;
-import static amberhoist.Bench.safe;
-import static amberhoist.Bench.server;
+import static amberhoist.decide.Bench.MS;
+import static amberhoist.decide.Bench.S;
+import static amberhoist.decide.Bench.safe;
+import static amberhoist.decide.Bench.server;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -11,16 +11,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberhoist.decide.Balancer.Effect;
+import amberhoist.decide.Balancer.ListKind;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.decide.Balancer.Scope;
+import amberhoist.decide.Balancer.State;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import amberhoist.Balancer.Effect;
-import amberhoist.Balancer.ListKind;
-import amberhoist.Balancer.Outcome;
-import amberhoist.Balancer.Scope;
-import amberhoist.Balancer.State;
 import org.junit.jupiter.api.Test;
 
 class PolicyTest {
--- a/src/test/java/amberhoist/RulesTest.java
+++ b/proxy/src/test/java/amberhoist/decide/RulesTest.java
@@ -1,11 +1,19 @@
-package amberhoist;
+package amberhoist.decide;
 
-import static amberhoist.Bench.MS;
-import static amberhoist.Bench.S;
+import static amberhoist.decide.Bench.MS;
+import static amberhoist.decide.Bench.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import amberhoist.decide.Balancer.AttemptBudget;
+import amberhoist.decide.Balancer.Effect;
+import amberhoist.decide.Balancer.ListKind;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.decide.Balancer.Request;
+import amberhoist.decide.Balancer.Scope;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer.State;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,14 +22,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import amberhoist.Balancer.AttemptBudget;
-import amberhoist.Balancer.Effect;
-import amberhoist.Balancer.ListKind;
-import amberhoist.Balancer.Outcome;
-import amberhoist.Balancer.Request;
-import amberhoist.Balancer.Scope;
-import amberhoist.Balancer.Server;
-import amberhoist.Balancer.State;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
