Cut sockets and core along their concerns, so that a second protocol can stand beside

Change: Proxy becomes net.Transport (table, queues, back-pressure, ends), net.Acceptor, front.line.LineClients and front.line.LineProviders behind the interfaces front.ClientSide and front.ProviderSide; front.Switchboard takes the core's commands to connections. Core becomes Core, Calls, SilenceWatch and Stopping, and knows an Arrival in place of the line. The times of core, sockets, lines and watch are records that a file can set later.

--- a/proxy/src/main/java/amberhoist/cli/Main.java
+++ b/proxy/src/main/java/amberhoist/cli/Main.java
@@ -3,8 +3,8 @@
 import amberhoist.clock.Clock;
 import amberhoist.config.Config.BadConfig;
 import amberhoist.config.Config;
-import amberhoist.net.Service;
 import amberhoist.net.Signals;
+import amberhoist.service.Service;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 
--- a/proxy/src/main/java/amberhoist/cli/Rehearsal.java
+++ b/proxy/src/main/java/amberhoist/cli/Rehearsal.java
@@ -3,7 +3,7 @@
 import amberhoist.clock.Clock;
 import amberhoist.config.Config.BadConfig;
 import amberhoist.config.Config;
-import amberhoist.net.Service;
+import amberhoist.service.Service;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
--- a/proxy/src/main/java/amberhoist/config/Config.java
+++ b/proxy/src/main/java/amberhoist/config/Config.java
@@ -1,7 +1,7 @@
 package amberhoist.config;
 
 import amberhoist.clock.Clock;
-import amberhoist.core.Core.Limits;
+import amberhoist.core.Limits;
 import amberhoist.decide.Balancer.Settings;
 import amberhoist.directory.Address;
 import amberhoist.directory.News;
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -7,15 +7,9 @@
 import amberhoist.decide.Balancer.Server;
 import amberhoist.decide.Balancer.Settings;
 import amberhoist.decide.Balancer;
-import amberhoist.front.line.Opening;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Counters;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 
 /**
  * The core: events from the sockets and the clock go in, commands come out, and the balancer decides. It does
@@ -25,185 +19,109 @@
  * deadline; never two invoker calls out; every call ended exactly once.
  */
 public final class Core implements Balancer.Actions {
-  /**
-   * Figures of the deployment that only the proxy needs, in microseconds.
-   *
-   * @param dial a provider connection not standing by then could not connect
-   * @param longest the longest time that a client waits
-   * @param types the classes that the settings name; none means any
-   * @param tenants the tenants that they name; none means any
-   */
-  public record Limits(long dial, long longest, Set<String> types, Set<String> tenants) {
-    boolean names(Opening opening) {
-      return (types.isEmpty() || types.contains(opening.type()))
-          && (tenants.isEmpty() || opening.tenant() != null && tenants.contains(opening.tenant()));
-    }
-  }
-
-  /** Answers leave this long before the client gives up: its clock started before the line came in. */
-  static final long ANSWER_MARGIN = 10_000;
-  /** A client line that no line follows for this long: the provider is silent. Clients send each 2 s. */
-  static final long SILENCE = 3_000_000;
-  private static final long STALL = 250_000; // a timer this late tells of the proxy, not of a provider
   private static final double MILLI = 1000; // microseconds
   private static final long HANDOVER_PAUSE = 250_000; // between calls for a connection handed over
   private static final long HANDOVER_DOUBT = 2_000_000; // a provider unknown or unwilling for this long
   private static final long HANDOVER_MOST = 40_000_000; // by then it is lost
-  private static final long STILL_ROUTED = 450_000; // into a stop: the front may still send clients here
-  private static final long STOP_STEP = 20_000; // between steps of moving clients while stopping
-  private static final long STOP_ADVICE = 300_000; // by then the front sends a rejected client elsewhere
-  private static final long STOP_LONGEST = 3_000_000; // a longer deadline counts as this when stopping
-  private static final long STOP_LEAST = 1_000_000; // late arrivals still find someone who answers
-  private static final long STOP_HOLD = 1_700_000; // before clients are moved: see stop()
-  private static final double STOP_HOLD_PART = 0.55; // of the time there is, where that is short
-  private static final long STOP_TAIL = 150_000; // of the 0.7 s until the kill, for the last moves
 
   private final Balancer balancer;
   private final Wheel wheel;
   private final Commands commands;
   private final Counters counters;
+  private final EventQueue events = new EventQueue();
+  private final Calls calls;
+  private final SilenceWatch silence;
+  private final Stopping stopping;
   private Limits limits;
+  private Timing timing;
   private final SlotTable<Invocation> invocations = new SlotTable<>();
-  private final Map<String, Pulse> pulses = new HashMap<>();
-  private final ArrayDeque<Runnable> events = new ArrayDeque<>();
-  private boolean busy;
-  private long now;
-  private boolean refusing;
-  private Runnable stopped;
 
   /** A core for one balancer, which is started by {@link #start}. */
-  public Core(Balancer balancer, Wheel wheel, Commands commands, Counters counters, Limits limits) {
+  public Core(Balancer balancer, Wheel wheel, Commands commands, Counters counters, Limits limits,
+      Timing timing) {
     this.balancer = balancer;
     this.wheel = wheel;
     this.commands = commands;
     this.counters = counters;
     this.limits = limits;
+    this.timing = timing;
+    calls = new Calls(invocations, wheel, events, commands, counters, this::over);
+    silence = new SilenceWatch(invocations, wheel, events, timing, this::lose);
+    stopping = new Stopping(invocations, wheel, events, this::move, this::giveUp);
   }
 
-  /** Runs an event; one that comes up while another is handled waits until that is done. */
   private void event(long time, Runnable body) {
-    events.add(body);
-    if (busy) {
-      return;
-    }
-    busy = true;
-    now = Math.max(now, time);
-    try {
-      for (Runnable next = events.poll(); next != null; next = events.poll()) {
-        next.run();
-      }
-    } finally {
-      busy = false;
-    }
+    events.run(time, body);
   }
 
   /** Begins the balancer's life with the directory as this proxy last had it. */
   public void start(long time, Settings settings, long seed, List<Server> known) {
     event(time, () -> {
-      balancer.start(now, settings, seed, this);
-      balancer.members(now, ListKind.STALE, known);
+      balancer.start(events.now(), settings, seed, this);
+      balancer.members(events.now(), ListKind.STALE, known);
     });
   }
 
   /** Goes on with other settings; what is out or joined stays as it is. */
-  public void configure(long time, Settings settings, Limits others) {
+  public void configure(long time, Settings settings, Limits others, Timing times) {
     event(time, () -> {
       limits = others;
-      balancer.configure(now, settings);
+      timing = times;
+      silence.configure(times);
+      balancer.configure(events.now(), settings);
     });
   }
 
   /** News from the directory. */
   public void directory(long time, ListKind kind, List<Server> providers) {
-    event(time, () -> balancer.members(now, kind, providers));
+    event(time, () -> balancer.members(events.now(), kind, providers));
   }
 
   /**
-   * A client's first line has come.
+   * A client asks for a connection.
    *
    * @return the invocation's number; it may already have been answered
    */
-  public long invocation(long time, long client, Opening opening) {
-    Invocation it = new Invocation(client, time, opening.provider());
+  public long invocation(long time, long client, Arrival arrival) {
+    Invocation it = new Invocation(client, time, arrival.provider());
     long number = invocations.add(it);
     event(time, () -> {
-      long wait = Math.max(0, opening.waitMillis() * 1000 - ANSWER_MARGIN);
-      long deadline = now + (it.handover == null ? wait : Math.min(wait, HANDOVER_MOST));
-      it.request = new Request(number, opening.type(), opening.tenant(), opening.key(), deadline,
-          opening.hint(), opening.group(), opening.retry(), opening.returning());
+      long wait = Math.max(0, arrival.waitMillis() * 1000 - timing.answerMargin());
+      long deadline = events.now() + (it.handover == null ? wait : Math.min(wait, HANDOVER_MOST));
+      it.request = new Request(number, arrival.type(), arrival.tenant(), arrival.key(), deadline,
+          arrival.hint(), arrival.group(), arrival.retry(), arrival.returning());
       it.deadlineTimer = wheel.arm(deadline, at -> deadline(at, number));
-      if (!limits.names(opening)) {
+      if (!limits.names(arrival)) {
         // Guards against an invocation that no provider can use taking a place, and the trust in one.
         counters.add(Count.MALFORMED);
         fail(number);
-      } else if (refusing) {
+      } else if (stopping.refusing()) {
         counters.add(Count.INVOCATIONS);
-        refuse(number, STOP_ADVICE);
+        refuse(number, timing.stopAdvice());
       } else if (it.handover != null) {
         counters.add(Count.HANDOVERS);
         call(number, it, it.handover, deadline);
       } else {
         counters.add(Count.INVOCATIONS);
         it.balanced = true;
-        balancer.request(now, it.request);
+        balancer.request(events.now(), it.request);
       }
     });
     return number;
   }
 
   private void call(long number, Invocation it, String provider, long until) {
-    counters.invariant(it.phase == Phase.WAITING && it.provider == SlotTable.NONE, "two calls out");
-    counters.add(Count.CALLS);
-    it.phase = Phase.CALLING;
-    it.calls++;
-    it.written = false;
-    it.called = provider;
-    it.callStart = now;
-    it.callEnd = Math.min(until, it.request.deadline());
-    it.provider = commands.dial(number, it.client, provider);
-    if (it.provider == SlotTable.NONE) {
-      int call = it.calls;
-      events.add(() -> {
-        if (invocations.get(number) == it && it.calls == call && it.phase == Phase.CALLING) {
-          endCall(number, it, Outcome.CONNECT_FAILED);
-        }
-      });
-      return;
-    }
-    long connection = it.provider;
-    it.callTimer = wheel.arm(it.callEnd, at -> callEnded(at, number, connection, Outcome.TIMED_OUT));
-    it.dialTimer = wheel.arm(Math.min(now + limits.dial(), it.callEnd), at -> {
-      if (!it.written) {
-        callEnded(at, number, connection, Outcome.CONNECT_FAILED);
-      }
-    });
-  }
-
-  /** The invocation whose call is out on this connection, or null when that call is over. */
-  private Invocation calling(long number, long provider) {
-    Invocation it = invocations.get(number);
-    return it != null && it.provider == provider && it.phase == Phase.CALLING ? it : null;
+    calls.start(number, it, provider, until, limits.dial());
   }
 
   /** A provider connection stands: the first line goes out on it, if there is still time. */
   public void connected(long time, long number, long provider) {
-    event(time, () -> {
-      Invocation it = calling(number, provider);
-      if (it != null && it.callEnd - now >= 1000) {
-        commands.forward(provider, (it.callEnd - now) / 1000);
-      }
-    });
+    event(time, () -> calls.connected(number, provider));
   }
 
   /** The first line has been written whole to a provider connection: from now on the call may have run. */
   public void written(long time, long number, long provider) {
-    event(time, () -> {
-      Invocation it = calling(number, provider);
-      if (it != null) {
-        it.written = true;
-        Invocation.cancel(it.dialTimer);
-      }
-    });
+    event(time, () -> calls.written(number, provider));
   }
 
   /**
@@ -211,52 +129,28 @@
    * counts as one that could not be made.
    */
   public void callEnded(long time, long number, long provider, Outcome outcome) {
-    event(time, () -> {
-      Invocation it = calling(number, provider);
-      if (it != null) {
-        boolean neverRan = !it.written && outcome != Outcome.CANCELLED;
-        endCall(number, it, neverRan ? Outcome.CONNECT_FAILED : outcome);
-      }
-    });
+    event(time, () -> calls.ended(number, provider, outcome));
   }
 
-  private void endCall(long number, Invocation it, Outcome outcome) {
-    count(outcome);
-    boolean unwilling = it.provider == SlotTable.NONE || outcome == Outcome.ERROR || outcome == Outcome.FULL;
-    it.cancelCallTimers();
-    commands.abandon(it.provider); // before any next call: never two out
-    it.provider = SlotTable.NONE;
-    it.phase = Phase.WAITING;
-    if (!it.balanced && unwilling && now - it.arrived >= HANDOVER_DOUBT) {
+  /** What follows the end of a call without UP: the balancer decides, but for a connection handed over. */
+  private void over(long number, Invocation it, Outcome outcome, boolean unwilling) {
+    if (it.balanced) {
+      balancer.ended(events.now(), number, it.calls - 1, outcome, events.now() - it.callStart, false);
+    } else if (unwilling && events.now() - it.arrived >= HANDOVER_DOUBT) {
       fail(number); // guards against waiting for a provider that never was, or never had this connection
-      return;
-    }
-    if (!it.balanced) {
-      wheel.arm(now + HANDOVER_PAUSE, at -> event(at, () -> {
+    } else {
+      wheel.arm(events.now() + HANDOVER_PAUSE, at -> event(at, () -> {
         if (invocations.get(number) == it && it.phase == Phase.WAITING) {
           call(number, it, it.handover, it.request.deadline());
         }
       }));
-      return;
     }
-    balancer.ended(now, number, it.calls - 1, outcome, now - it.callStart, false);
-  }
-
-  private void count(Outcome outcome) {
-    counters.add(switch (outcome) {
-      case ERROR -> Count.CALL_ERROR;
-      case FULL -> Count.CALL_BUSY;
-      case TIMED_OUT -> Count.CALL_TIMED_OUT;
-      case CONNECT_FAILED -> Count.CALL_CONNECT_FAILED;
-      case RESET -> Count.CALL_RESET;
-      default -> Count.CALL_ABANDONED;
-    });
   }
 
   /** A provider has answered UP: the client is served, if it is still there. */
   public void up(long time, long number, long provider) {
     event(time, () -> {
-      Invocation it = calling(number, provider);
+      Invocation it = calls.out(number, provider);
       if (it == null) {
         return;
       }
@@ -264,15 +158,14 @@
       counters.add(Count.ANSWERED_UP);
       it.cancelTimers();
       it.phase = Phase.UP;
-      it.pulse = pulses.computeIfAbsent(it.called, name -> new Pulse());
-      it.pulse.join(number, now);
+      silence.joined(number, it);
       commands.join(it.client, provider);
       if (it.balanced) {
-        balancer.opened(now, number, it.calls - 1, now - it.callStart);
+        balancer.opened(events.now(), number, it.calls - 1, events.now() - it.callStart);
       } else {
         it.balanced = true;
         it.calls = 1;
-        balancer.handover(now, it.request, it.handover);
+        balancer.handover(events.now(), it.request, it.handover);
       }
     });
   }
@@ -291,13 +184,13 @@
         return;
       }
       double before = it.told.load();
-      boolean delay = it.told.delay(now, figure);
+      boolean delay = it.told.delay(events.now(), figure);
       if (!delay || it.told.load() != before) {
-        balancer.load(now, number, it.calls - 1, it.told.load());
+        balancer.load(events.now(), number, it.calls - 1, it.told.load());
       }
       if (delay) {
         counters.add(Count.DELAYS);
-        balancer.delay(now, number, it.calls - 1, figure * MILLI);
+        balancer.delay(events.now(), number, it.calls - 1, figure * MILLI);
       }
     });
   }
@@ -305,10 +198,8 @@
   /** A line of the client has been passed to its provider. */
   public void asked(long time, long number, long provider) {
     Invocation it = joined(number, provider);
-    if (it != null && it.unanswered == 0) {
-      it.unanswered = time;
-      it.pulse.asked(number);
-      watchSilence(number, it, time + Pulse.QUIET);
+    if (it != null) {
+      silence.asked(time, number, it);
     }
   }
 
@@ -316,37 +207,11 @@
   public void returned(long time, long number, long provider) {
     Invocation it = joined(number, provider);
     if (it != null) {
-      it.unanswered = 0;
-      it.pulse.returned(number, time);
-    }
-  }
-
-  private void watchSilence(long number, Invocation it, long due) {
-    Invocation.cancel(it.silenceTimer);
-    it.silenceTimer = wheel.arm(due, at -> event(at, () -> silent(number, it, due)));
-  }
-
-  /**
-   * Guards against a provider that takes lines and returns none: TCP does not tell of a vanished machine. Its
-   * clients are told to move, which is right also if it should still be there.
-   */
-  private void silent(long number, Invocation it, long due) {
-    if (invocations.get(number) != it || it.unanswered == 0) {
-      return;
-    }
-    if (now - due > STALL) {
-      it.unanswered = now; // this process stood still: what has come meanwhile is still to be read
-      watchSilence(number, it, now + SILENCE);
-    } else if (it.pulse.silent(now)) {
-      it.pulse.joined().forEach(other -> lose(other, invocations.get(other)));
-    } else if (now - it.unanswered >= SILENCE) {
-      lose(number, it);
-    } else {
-      watchSilence(number, it, Math.min(it.unanswered + SILENCE, now + Pulse.QUIET));
+      silence.returned(time, number, it);
     }
   }
 
-  private void lose(long number, Invocation it) {
+  private void lose(Invocation it, long number) {
     counters.add(Count.SILENT);
     commands.move(it.client);
     end(number, it, Outcome.RESET);
@@ -369,12 +234,9 @@
 
   private void end(long number, Invocation it, Outcome outcome) {
     it.cancelTimers();
-    it.pulse.end(number);
-    if (it.pulse.idle()) {
-      pulses.remove(it.called);
-    }
+    silence.ended(number, it);
     invocations.remove(number);
-    balancer.ended(now, number, it.calls - 1, outcome, now - it.callStart, true);
+    balancer.ended(events.now(), number, it.calls - 1, outcome, events.now() - it.callStart, true);
   }
 
   /** The client has left, before its answer or after. */
@@ -398,13 +260,13 @@
     it.cancelTimers();
     invocations.remove(number);
     if (it.balanced) {
-      balancer.departed(now, number);
+      balancer.departed(events.now(), number);
     }
     if (it.phase == Phase.CALLING) {
       commands.abandon(it.provider);
       counters.add(Count.CALL_ABANDONED);
       if (it.balanced) {
-        balancer.ended(now, number, it.calls - 1, Outcome.CANCELLED, now - it.callStart, true);
+        balancer.ended(events.now(), number, it.calls - 1, Outcome.CANCELLED, events.now() - it.callStart, true);
       }
     }
   }
@@ -414,7 +276,7 @@
     event(time, () -> {
       Invocation it = invocations.get(number);
       if (it != null && it.phase == Phase.CALLING && it.balanced) {
-        endCall(number, it, it.written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED);
+        calls.end(number, it, it.written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED);
       }
       it = invocations.get(number);
       if (it != null && it.phase != Phase.UP) {
@@ -431,7 +293,7 @@
     Invocation it = invocations.get(request);
     counters.invariant(it != null, "a call for an unknown invocation");
     if (it != null) {
-      call(request, it, server, now + timeout);
+      call(request, it, server, events.now() + timeout);
     }
   }
 
@@ -461,7 +323,7 @@
     if (it != null && it.phase == Phase.UP) {
       counters.add(Count.MOVED);
       commands.move(it.client);
-      events.add(() -> {
+      events.after(() -> {
         if (invocations.get(request) == it) {
           end(request, it, Outcome.CANCELLED);
         }
@@ -476,7 +338,7 @@
 
   @Override
   public void timer(long at, long token) {
-    wheel.arm(at, time -> event(time, () -> balancer.timer(now, token)));
+    wheel.arm(at, time -> event(time, () -> balancer.timer(events.now(), token)));
   }
 
   @Override
@@ -485,47 +347,19 @@
   }
 
   /**
-   * Stops in good order: serves on while the front may still send here, then moves all standing clients at an
-   * even pace, so that they do not all come back to the others at once, and rejects what still arrives. The
-   * moves begin late: where proxies are restarted in turn, the one before may only just be starting, and a
-   * client that nobody takes in is worse off than one that stays.
+   * Stops in good order, see {@link Stopping}.
    *
    * @param done is run when nothing is owed and nobody is joined any more
    */
   public void stop(long time, Runnable done) {
-    stopped = done;
-    long longest = Math.min(limits.longest(), STOP_LONGEST);
-    long hold = Math.max(STILL_ROUTED, Math.min(STOP_HOLD, (long) (STOP_HOLD_PART * longest)));
-    long end = time + longest + STOP_TAIL;
-    wheel.arm(time + STILL_ROUTED, at -> event(at, () -> refusing = true));
-    wheel.arm(time + hold, at -> stopStep(at, Math.min(end, time + STOP_LEAST), end));
-  }
-
-  private void stopStep(long time, long least, long end) {
-    event(time, () -> {
-      List<Long> joined = new ArrayList<>();
-      List<Long> owed = new ArrayList<>();
-      invocations.forEach(n -> (invocations.get(n).phase == Phase.UP ? joined : owed).add(n));
-      boolean last = now + STOP_STEP >= end;
-      long steps = Math.max(1, (end - now) / STOP_STEP);
-      long moves = last ? joined.size() : (joined.size() + steps - 1) / steps;
-      joined.stream().limit(moves).forEach(this::move);
-      if (last) {
-        owed.forEach(this::giveUp);
-      }
-    });
-    if (invocations.size() == 0 && time >= least) {
-      stopped.run();
-    } else {
-      wheel.arm(time + STOP_STEP, at -> stopStep(at, least, end));
-    }
+    event(time, () -> stopping.begin(time, limits.longest(), timing, done));
   }
 
   /** Rejects what is still owed an answer when the proxy stops. */
   private void giveUp(long number) {
     Invocation it = invocations.get(number);
     counters.add(Count.ANSWERED_REJECTION);
-    commands.reject(it.client, STOP_ADVICE);
+    commands.reject(it.client, timing.stopAdvice());
     depart(number, it);
   }
 
--- a/proxy/src/main/java/amberhoist/core/Pulse.java
+++ b/proxy/src/main/java/amberhoist/core/Pulse.java
@@ -10,11 +10,6 @@
  * connection by itself when the whole machine has vanished or hung: its silence shows sooner on all of them.
  */
 final class Pulse {
-  /**
-   * A sound provider returns lines within 50 ms at any load, as measured; several not returned for this long
-   * tell enough, also when this process stood still for a moment.
-   */
-  static final long QUIET = 500_000;
   private static final int WITNESSES = 2;
 
   private final Set<Long> joined = new LinkedHashSet<>();
@@ -40,9 +35,13 @@
     unanswered.remove(invocation);
   }
 
-  /** Whether nothing has come on any connection for so long that the provider must be lost. */
-  boolean silent(long now) {
-    return unanswered.size() >= WITNESSES && now - returned >= QUIET;
+  /**
+   * Whether nothing has come on any connection for so long that the provider must be lost. A sound provider
+   * returns lines within 50 ms at any load, as measured; several not returned for ten times that tell enough,
+   * also when this process stood still for a moment.
+   */
+  boolean silent(long now, long quiet) {
+    return unanswered.size() >= WITNESSES && now - returned >= quiet;
   }
 
   List<Long> joined() {
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/front/line/LineClients.java
@@ -0,0 +1,214 @@
+package amberhoist.front.line;
+
+import amberhoist.core.Core;
+import amberhoist.front.ClientSide;
+import amberhoist.front.Front;
+import amberhoist.metrics.Counters.Count;
+import amberhoist.metrics.Counters;
+import amberhoist.net.Connection.Role;
+import amberhoist.net.Connection;
+import amberhoist.net.Lobby;
+import amberhoist.net.Loop;
+import amberhoist.net.Transport;
+import java.io.IOException;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The platform's lines, as clients speak them: the first line, the final answer, and the lines after it. */
+public final class LineClients implements Front, ClientSide {
+  private static final byte[] PONG = Lines.ascii("PONG\r\n");
+  private static final byte[] ERR = Lines.ascii("ERR\r\n");
+  private static final byte[] MOVE = Lines.ascii("MOVE\r\n");
+
+  /** What a new client may still do; it is replaced by the {@link Opening} once that has come. */
+  private static final class Greeting {
+    int pings;
+  }
+
+  private final Loop loop;
+  private final Transport transport;
+  private final Lobby lobby;
+  private final Counters counters;
+  private final Map<String, Long> ids = new HashMap<>(); // of the clients held or joined
+  private LineLimits limits = LineLimits.DEFAULT;
+  private long mostAdvice = Long.MAX_VALUE;
+  private Core core;
+
+  /** A front for clients on this transport; {@link #wire} names its core. */
+  public LineClients(Loop loop, Transport transport, Lobby lobby, Counters counters) {
+    this.loop = loop;
+    this.transport = transport;
+    this.lobby = lobby;
+    this.counters = counters;
+  }
+
+  /** Names the core. */
+  public void wire(Core theCore) {
+    core = theCore;
+  }
+
+  /** Goes by other limits, and tells rejected clients to wait no longer than so many microseconds. */
+  public void limits(LineLimits others, long longestAdvice) {
+    limits = others;
+    mostAdvice = longestAdvice;
+  }
+
+  @Override
+  public String name() {
+    return "line";
+  }
+
+  @Override
+  public void accepted(AsynchronousSocketChannel channel) {
+    Connection c = transport.accepted(channel, this);
+    c.attach(new Greeting());
+    c.timer(loop.wheel().arm(loop.now() + limits.firstLine(), at -> malformed(c)));
+    transport.read(c);
+  }
+
+  @Override
+  public void input(Connection c) {
+    if (c.role() == Role.CLIENT && !c.joined()) {
+      // Guards against lines for a provider that never saw them: a client waits after its first one.
+      malformed(c);
+      core.clientLeft(loop.now(), c.invocation());
+      return;
+    }
+    try {
+      while (!c.finishing() && transport.holds(c) && (c.role() == Role.NEW || c.joined())) {
+        byte[] line = c.line(Opening.LONGEST);
+        if (line == null) {
+          return;
+        }
+        if (c.role() == Role.NEW) {
+          firstLine(c, line);
+        } else {
+          pass(c, line);
+        }
+      }
+    } catch (IOException overlong) {
+      if (c.role() == Role.NEW) {
+        malformed(c);
+      } else {
+        transport.broken(c);
+      }
+    }
+  }
+
+  private void firstLine(Connection c, byte[] line) {
+    String text = Lines.text(line);
+    if (text == null) {
+      malformed(c);
+    } else if (text.equals("PING")) {
+      counters.add(Count.PINGED);
+      if (++((Greeting) c.attachment()).pings > limits.pings()) {
+        malformed(c);
+      } else {
+        transport.send(c, PONG);
+      }
+    } else {
+      try {
+        opening(c, Opening.parse(text));
+      } catch (MalformedLine fault) {
+        malformed(c);
+      }
+    }
+  }
+
+  private void opening(Connection c, Opening opening) {
+    if (c.pending() > 0 || ids.containsKey(opening.id())) {
+      malformed(c); // sent more without waiting, or took the id of a client that is still here
+      return;
+    }
+    c.timer(null);
+    c.attach(opening);
+    transport.taken(c);
+    ids.put(opening.id(), c.number());
+    if (!lobby.room(0) || lobby.crowded() && opening.provider() == null) {
+      counters.add(Count.CROWDED_OUT);
+      reject(c, limits.crowdedAdvice()); // a provider connection would take the last descriptors
+      return;
+    }
+    long arrived = loop.now();
+    // Behind what has already come in: news from the directory must reach the balancer first.
+    loop.post(() -> {
+      if (transport.holds(c) && !c.finishing()) {
+        c.invocation(core.invocation(arrived, c.number(), opening.arrival()));
+      }
+    });
+  }
+
+  private void malformed(Connection c) {
+    counters.add(Count.MALFORMED);
+    c.linger(limits.badLinger());
+    answer(c, ERR);
+  }
+
+  private void pass(Connection c, byte[] line) {
+    Connection provider = transport.get(c.peer());
+    if (provider != null) {
+      counters.add(Count.LINES_TO_PROVIDERS);
+      core.asked(loop.now(), c.invocation(), c.peer());
+      transport.send(provider, line);
+    }
+  }
+
+  @Override
+  public void inputEnded(Connection c) {
+    end(c, transport::finish, false);
+  }
+
+  @Override
+  public void broken(Connection c) {
+    end(c, transport::reset, true);
+  }
+
+  /** The client has ended: its provider is ended the same way, and the core is told. */
+  private void end(Connection c, Consumer<Connection> ending, boolean reset) {
+    if (c.role() == Role.NEW) {
+      if (!reset && c.pending() > 0) {
+        malformed(c); // a first line that is never finished
+      }
+      ending.accept(c);
+      return;
+    }
+    Connection provider = transport.get(c.peer());
+    if (c.joined() && provider != null) {
+      ending.accept(provider);
+    } else if (!reset) {
+      transport.send(c, Lines.rejection(0)); // one final answer, also to one that only ended its sending side
+    }
+    ending.accept(c);
+    core.clientLeft(loop.now(), c.invocation());
+  }
+
+  @Override
+  public void released(Connection c) {
+    if (c.attachment() instanceof Opening opening) {
+      ids.remove(opening.id(), c.number());
+    }
+  }
+
+  private void answer(Connection c, byte[] answer) {
+    transport.send(c, answer);
+    transport.finish(c);
+  }
+
+  @Override
+  public void reject(Connection c, long retryAfter) {
+    answer(c, Lines.rejection(Math.min(retryAfter, mostAdvice)));
+  }
+
+  @Override
+  public void fail(Connection c) {
+    answer(c, ERR);
+  }
+
+  @Override
+  public void move(Connection c) {
+    transport.on(c.peer(), transport::finish);
+    answer(c, MOVE);
+  }
+}
--- a/proxy/src/main/java/amberhoist/front/line/Opening.java
+++ b/proxy/src/main/java/amberhoist/front/line/Opening.java
@@ -1,5 +1,6 @@
 package amberhoist.front.line;
 
+import amberhoist.core.Arrival;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
@@ -67,6 +68,11 @@
         values.get("at"), line, waitFrom, waitFrom + wait.length());
   }
 
+  /** What it asks of the core. */
+  public Arrival arrival() {
+    return new Arrival(type, tenant, key, group, waitMillis, hint, retry, returning, provider);
+  }
+
   /** The line for a provider, CRLF included, telling how long the proxy will wait. */
   public byte[] forward(long millis) {
     String line = text.substring(0, waitFrom) + millis + text.substring(waitTo) + "\r\n";
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/net/Acceptor.java
@@ -0,0 +1,95 @@
+package amberhoist.net;
+
+import amberhoist.metrics.Counters.Count;
+import amberhoist.metrics.Counters;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.function.Consumer;
+
+/** Accepts connections for one front, as far as there are descriptors for them. */
+public final class Acceptor {
+  private final Loop loop;
+  private final Lobby lobby;
+  private final Counters counters;
+  private final Consumer<AsynchronousSocketChannel> front;
+  private SocketLimits limits;
+  private AsynchronousServerSocketChannel server;
+
+  private final CompletionHandler<AsynchronousSocketChannel, Void> accepted = new CompletionHandler<>() {
+    @Override
+    public void completed(AsynchronousSocketChannel channel, Void none) {
+      loop.run(() -> {
+        counters.add(Count.ACCEPTED);
+        front.accept(channel);
+        accept();
+      });
+    }
+
+    @Override
+    public void failed(Throwable fault, Void none) {
+      if (server.isOpen()) {
+        // Out of descriptors, mostly: the loop of accepts must outlive that.
+        loop.run(() -> {
+          counters.add(Count.ACCEPT_FAILED);
+          acceptLater();
+        });
+      }
+    }
+  };
+
+  /** An acceptor that hands what it accepts to a front. */
+  public Acceptor(Loop loop, Lobby lobby, Counters counters, SocketLimits limits,
+      Consumer<AsynchronousSocketChannel> front) {
+    this.loop = loop;
+    this.lobby = lobby;
+    this.counters = counters;
+    this.limits = limits;
+    this.front = front;
+  }
+
+  /** Goes by other limits from now on; the backlog stays. */
+  public void limits(SocketLimits others) {
+    limits = others;
+  }
+
+  /** Listens, and accepts from now on. */
+  public void open(InetSocketAddress listen) throws IOException {
+    server = AsynchronousServerSocketChannel.open(loop.group());
+    server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    server.bind(listen, limits.backlog());
+    accept();
+  }
+
+  /** The address that is listened on. */
+  public InetSocketAddress address() throws IOException {
+    return (InetSocketAddress) server.getLocalAddress();
+  }
+
+  private void accept() {
+    if (!server.isOpen()) {
+      return;
+    }
+    if (lobby.room(1)) {
+      server.accept(null, accepted);
+    } else {
+      acceptLater(); // better off waiting in the backlog than cut off for want of descriptors
+    }
+  }
+
+  private void acceptLater() {
+    loop.wheel().arm(loop.now() + limits.acceptPause(), at -> accept());
+  }
+
+  /** Stops accepting. */
+  public void close() {
+    try {
+      server.close();
+    } catch (IOException closed) {
+      // nothing listens any more either way
+    }
+  }
+}
--- a/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
@@ -4,6 +4,7 @@
 import amberhoist.core.SlotTable;
 import amberhoist.core.Wheel.Timer;
 import amberhoist.decide.Balancer.ListKind;
+import amberhoist.directory.AddressBook;
 import amberhoist.directory.News;
 import amberhoist.directory.WatchParser;
 import amberhoist.metrics.Counters.Count;
@@ -22,10 +23,6 @@
  * pause that grows with each failure but stays far inside the time for which a list may go unasked.
  */
 public final class DirectoryWatch {
-  private static final long SILENCE = 3_000_000; // an empty line comes every 2 s
-  private static final long FIRST_ANSWER = 4_000_000; // calls wait in turn at the directory
-  private static final long PAUSE = 100_000;
-  private static final long PAUSE_MOST = 1_000_000;
   private static final int BUFFER = 16_384;
 
   /** One watch; what comes late for an earlier one finds another here and changes nothing. */
@@ -46,14 +43,15 @@
 
   private final Loop loop;
   private final Core core;
-  private final Proxy proxy;
+  private final AddressBook addresses;
   private final Counters counters;
   private InetSocketAddress address;
   private final Random random;
   private final SlotTable<Watch> watches = new SlotTable<>();
   private long current = SlotTable.NONE;
   private long index;
-  private long pause = PAUSE;
+  private WatchTiming timing;
+  private long pause;
   private Timer timer;
   private boolean closed;
 
@@ -62,11 +60,13 @@
   private final CompletionHandler<Integer, Long> read = handler(this::read);
 
   /** A watch on the directory at this address, from this version of the list on. */
-  public DirectoryWatch(Loop loop, Core core, Proxy proxy, Counters counters, InetSocketAddress address,
-      long index, long seed) {
+  public DirectoryWatch(Loop loop, Core core, AddressBook addresses, Counters counters, WatchTiming timing,
+      InetSocketAddress address, long index, long seed) {
     this.loop = loop;
     this.core = core;
-    this.proxy = proxy;
+    this.addresses = addresses;
+    this.timing = timing;
+    pause = timing.pause();
     this.counters = counters;
     this.address = address;
     this.index = index;
@@ -103,6 +103,11 @@
     }
   }
 
+  /** Goes by other times from the next wait on. */
+  public void timing(WatchTiming others) {
+    timing = others;
+  }
+
   /**
    * Watches the directory at another address from now on, and at once. The list stays until the new one tells
    * otherwise. It is asked for all of it, since it may number its versions in its own way.
@@ -113,7 +118,7 @@
     }
     address = to;
     index = 0;
-    pause = PAUSE; // guards against a back-off, earned by the old address, that outlasts the time to be told
+    pause = timing.pause(); // guards against a back-off, earned by the old address, that lasts too long
     if (timer != null) {
       timer.cancel();
       timer = null;
@@ -132,7 +137,7 @@
       String host = address.getAddress().getHostAddress() + ':' + address.getPort();
       watch.query = ByteBuffer.wrap(("GET /v1/servers?follow=1&since=" + index + " HTTP/1.1\r\nHost: " + host
           + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-      silenceAfter(FIRST_ANSWER, number);
+      silenceAfter(timing.firstAnswer(), number);
       watch.channel.connect(address, number, connected);
     } catch (IOException fault) {
       failed(fault.toString());
@@ -159,7 +164,7 @@
       throw new IOException("ended");
     }
     long number = current;
-    silenceAfter(SILENCE, number);
+    silenceAfter(timing.silence(), number);
     watch.buffer.flip();
     List<byte[]> lines = new java.util.ArrayList<>();
     try {
@@ -179,14 +184,14 @@
   }
 
   private void news(byte[] line) throws IOException {
-    pause = PAUSE;
+    pause = timing.pause();
     if (line.length == 0) {
       return;
     }
     News news = News.parse(line, loop.clock());
     counters.add(Count.DIRECTORY_NEWS);
     index = news.index();
-    proxy.addresses(news.addresses(), news.whole());
+    addresses.update(news.addresses(), news.whole());
     core.directory(loop.now(), news.whole() ? ListKind.FULL : ListKind.CHANGES, news.providers());
   }
 
@@ -215,7 +220,7 @@
     counters.add(Count.DIRECTORY_FAILURES);
     System.err.println("directory: " + why);
     long wait = pause + (long) (random.nextDouble() * pause);
-    pause = Math.min(2 * pause, PAUSE_MOST);
+    pause = Math.min(2 * pause, timing.pauseMost());
     if (timer != null) {
       timer.cancel();
     }
--- a/proxy/src/main/java/amberhoist/net/Lobby.java
+++ b/proxy/src/main/java/amberhoist/net/Lobby.java
@@ -12,7 +12,7 @@
  * for the provider connection that it will want, and while that does not fit, the oldest connection that
  * nothing is owed goes.
  */
-final class Lobby {
+public final class Lobby {
   private static final int SPARE = 16;
 
   private final Set<Connection> fresh = new LinkedHashSet<>(); // no whole first line yet, in order of arrival
@@ -23,11 +23,12 @@
   private int most;
 
   /** A lobby that ends connections in this way; they leave it on that occasion. */
-  Lobby(Consumer<Connection> evict) {
+  public Lobby(Consumer<Connection> evict) {
     this.evict = evict;
   }
 
-  void limit(int descriptors) {
+  /** Holds so many at most from now on; those served above that are not cut off. */
+  public void limit(int descriptors) {
     most = descriptors;
   }
 
@@ -66,7 +67,7 @@
   }
 
   /** Makes room for so many descriptors more, as far as that goes; whether there is room now. */
-  boolean room(int wanted) {
+  public boolean room(int wanted) {
     while (held() + wanted > most) {
       Iterator<Connection> oldest = (ending.isEmpty() ? fresh : ending).iterator();
       if (!oldest.hasNext()) {
@@ -78,7 +79,7 @@
   }
 
   /** Whether those that are served leave too little to accept and answer others with. */
-  boolean crowded() {
+  public boolean crowded() {
     return served() + SPARE > most;
   }
 
--- a/proxy/src/main/java/amberhoist/net/Loop.java
+++ b/proxy/src/main/java/amberhoist/net/Loop.java
@@ -44,7 +44,7 @@
    * Runs a task now, or, when called from within another task, right after that. A channel may complete an
    * operation within the call that starts it; its handler must not act in the middle of the event at hand.
    */
-  void run(Runnable task) {
+  public void run(Runnable task) {
     tasks.add(task);
     if (running) {
       return;
@@ -67,7 +67,7 @@
   }
 
   /** How many tasks wait, the next tick among them. */
-  int waiting() {
+  public int waiting() {
     return executor.getQueue().size();
   }
 
--- a/proxy/src/main/java/amberhoist/net/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -1,11 +1,25 @@
-package amberhoist.net;
+package amberhoist.service;
 
 import amberhoist.config.Config.BadConfig;
 import amberhoist.config.Config;
 import amberhoist.core.Core;
+import amberhoist.core.Timing;
 import amberhoist.decide.Policy;
+import amberhoist.directory.AddressBook;
+import amberhoist.front.Switchboard;
+import amberhoist.front.line.LineClients;
+import amberhoist.front.line.LineLimits;
+import amberhoist.front.line.LineProviders;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Counters;
+import amberhoist.net.Acceptor;
+import amberhoist.net.Connection;
+import amberhoist.net.DirectoryWatch;
+import amberhoist.net.Lobby;
+import amberhoist.net.Loop;
+import amberhoist.net.SocketLimits;
+import amberhoist.net.Transport;
+import amberhoist.net.WatchTiming;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -20,21 +34,50 @@
 public final class Service {
   private static final long CLOSING = 300_000; // for the last FINs to be exchanged
 
+  private static final int OWN_DESCRIPTORS = 24; // 12 of the runtime and the group, two watches, the file
+  private static final int LEAST_DESCRIPTORS = 18;
+
   private final Loop loop;
   private final Counters counters = new Counters();
-  private final Proxy proxy;
+  private final AddressBook addresses = new AddressBook();
+  private final Lobby lobby;
+  private final Transport transport;
+  private final LineClients clients;
+  private final Acceptor acceptor;
   private final Core core;
   private final DirectoryWatch directory;
   private final CountDownLatch stopped = new CountDownLatch(1);
 
   private Service(Config config) throws IOException {
     loop = new Loop();
-    proxy = new Proxy(loop, counters);
-    core = new Core(new Policy(), loop.wheel(), proxy, counters, config.limits());
-    directory = new DirectoryWatch(loop, core, proxy, counters, config.discovery(), config.known().index(),
-        config.seed());
-    proxy.limit(config.sockets(), config.settings().maxRetryAfter());
-    proxy.wire(core, directory::ensure);
+    lobby = new Lobby(this::evict);
+    transport = new Transport(loop, lobby, SocketLimits.DEFAULT);
+    clients = new LineClients(loop, transport, lobby, counters);
+    LineProviders providers = new LineProviders(loop, transport, counters, addresses,
+        (provider, fault) -> System.err.println("cannot connect to " + provider + ": " + fault));
+    acceptor = new Acceptor(loop, lobby, counters, SocketLimits.DEFAULT, clients::accepted);
+    Switchboard switchboard =
+        new Switchboard(transport, providers, this::ensureWatch, System.err::println);
+    core = new Core(new Policy(), loop.wheel(), switchboard, counters, config.limits(), Timing.DEFAULT);
+    directory = new DirectoryWatch(loop, core, addresses, counters, WatchTiming.DEFAULT, config.discovery(),
+        config.known().index(), config.seed());
+    clients.wire(core);
+    providers.wire(core);
+    limit(config);
+  }
+
+  private void evict(Connection c) {
+    counters.add(Count.EVICTED);
+    transport.drop(c);
+  }
+
+  private void ensureWatch() {
+    directory.ensure();
+  }
+
+  private void limit(Config config) {
+    lobby.limit(Math.max(LEAST_DESCRIPTORS, config.sockets() - OWN_DESCRIPTORS));
+    clients.limits(LineLimits.DEFAULT, config.settings().maxRetryAfter());
   }
 
   /** Starts a proxy; returns when it listens. */
@@ -43,10 +86,10 @@
     CompletableFuture<Void> open = new CompletableFuture<>();
     service.loop.post(() -> {
       try {
-        service.proxy.addresses(config.known().addresses(), true);
+        service.addresses.update(config.known().addresses(), true);
         service.core.start(service.loop.now(), config.settings(), config.seed(), config.known().providers());
         service.directory.ensure();
-        service.proxy.open(config.listen());
+        service.acceptor.open(config.listen());
         open.complete(null);
       } catch (IOException | RuntimeException fault) {
         open.completeExceptionally(fault);
@@ -54,7 +97,7 @@
     });
     try {
       open.get();
-      System.err.println(config.name() + " serves on " + service.proxy.address());
+      System.err.println(config.name() + " serves on " + service.acceptor.address());
       return service;
     } catch (InterruptedException | ExecutionException fault) {
       service.loop.close();
@@ -64,7 +107,7 @@
 
   /** The address that is listened on. */
   public InetSocketAddress address() throws IOException {
-    return proxy.address();
+    return acceptor.address();
   }
 
   /**
@@ -78,8 +121,8 @@
       Config config = Config.reload(environment, loop.clock());
       task = () -> {
         counters.add(Count.RELOADS);
-        proxy.limit(config.sockets(), config.settings().maxRetryAfter());
-        core.configure(loop.now(), config.settings(), config.limits());
+        limit(config);
+        core.configure(loop.now(), config.settings(), config.limits(), Timing.DEFAULT);
         directory.move(config.discovery());
         System.err.println("configuration read again, directory at " + config.discovery());
       };
@@ -109,7 +152,8 @@
   public void stop() {
     loop.post(() -> core.stop(loop.now(), () -> {
       loop.wheel().arm(loop.now() + CLOSING, at -> {
-        proxy.close();
+        acceptor.close();
+        transport.close();
         directory.close();
         stopped.countDown();
       });
@@ -129,7 +173,7 @@
 
   /** How many connections are held. */
   public int connections() {
-    return asked(proxy::size);
+    return asked(transport::size);
   }
 
   /** How often this has been counted so far. */
@@ -138,7 +182,7 @@
   }
 
   /** The loop, for stories that hold it up. */
-  Loop loop() {
+  public Loop loop() {
     return loop;
   }
 
--- a/proxy/src/test/java/amberhoist/net/DirectoryStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/DirectoryStoriesTest.java
@@ -1,12 +1,14 @@
-package amberhoist.net;
+package amberhoist.service;
 
-import static amberhoist.net.Peers.chunk;
-import static amberhoist.net.Peers.opening;
+import static amberhoist.service.Peers.chunk;
+import static amberhoist.service.Peers.opening;
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import amberhoist.metrics.Counters.Count;
-import amberhoist.net.Peers.Peer;
+import amberhoist.net.Loop;
+import amberhoist.net.Signals;
+import amberhoist.service.Peers.Peer;
 import java.net.ServerSocket;
 import java.util.concurrent.CountDownLatch;
 import org.junit.Test;
--- a/proxy/src/test/java/amberhoist/net/Peers.java
+++ b/proxy/src/test/java/amberhoist/service/Peers.java
@@ -1,4 +1,4 @@
-package amberhoist.net;
+package amberhoist.service;
 
 import amberhoist.clock.Clock;
 import amberhoist.config.Config;
--- a/proxy/src/test/java/amberhoist/net/StoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/StoriesTest.java
@@ -1,11 +1,11 @@
-package amberhoist.net;
+package amberhoist.service;
 
-import static amberhoist.net.Peers.opening;
+import static amberhoist.service.Peers.opening;
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
 import amberhoist.metrics.Counters.Count;
-import amberhoist.net.Peers.Peer;
+import amberhoist.service.Peers.Peer;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
