--- /dev/null
+++ b/proxy/src/main/java/amberhoist/cli/DrillCommand.java
@@ -0,0 +1,13 @@
+package amberhoist.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+
+/** The adapter to the simulator. */
+@Command(name = "drill", description = "Speaks the simulator's wire on standard input and output.")
+final class DrillCommand implements Callable<Integer> {
+  @Override
+  public Integer call() {
+    return amberhoist.drill.Main.run(new String[] {"drill"}, System.in, System.out, System.err);
+  }
+}
--- a/proxy/src/main/java/amberhoist/cli/Rehearsal.java
+++ b/proxy/src/main/java/amberhoist/cli/Rehearsal.java
@@ -3,6 +3,9 @@
 import amberhoist.clock.Clock;
 import amberhoist.config.Config.BadConfig;
 import amberhoist.config.Config;
+import amberhoist.log.EventLog;
+import amberhoist.log.LogSettings;
+import amberhoist.net.Signals;
 import amberhoist.service.Service;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -20,6 +23,21 @@
 final class Rehearsal {
   private Rehearsal() {}
 
+  /** Runs it as a process, with log and signals as {@code serve} has them. */
+  static void main(String file) {
+    EventLog.choose(LogSettings.DEFAULT.format());
+    EventLog.redirect(LogSettings.DEFAULT.queue(), new EventLog("rehearsal", LogSettings.DEFAULT));
+    Signals.onHangup(() -> {});
+    try {
+      run(file);
+    } catch (BadConfig | IOException fault) {
+      System.err.println("rehearsal: " + fault.getMessage());
+      EventLog.flush();
+      System.exit(1);
+    }
+    EventLog.flush();
+  }
+
   /** Serves a PING and one invocation, which no provider answers, by this configuration; then stops. */
   static void run(String file) throws BadConfig, IOException {
     Map<String, String> environment = Map.of("LB_CONFIG", file, "LB_LISTEN", "127.0.0.1:0",
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/cli/SourceOptions.java
@@ -0,0 +1,45 @@
+package amberhoist.cli;
+
+import amberhoist.config.Setup.Sources;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import picocli.CommandLine.Option;
+
+/** The options that say where the configuration is. */
+final class SourceOptions {
+  @Option(names = "--config", paramLabel = "FILE", description = "the operator's file; also AMBERHOIST_CONFIG")
+  Path config;
+
+  @Option(names = "--platform", paramLabel = "FILE", description = "the platform's JSON; also LB_CONFIG")
+  String platform;
+
+  @Option(names = "--name", paramLabel = "NAME", description = "name of the instance; also LB_NAME")
+  String name;
+
+  @Option(names = "--listen", paramLabel = "ADDRESS", description = "where clients connect; also LB_LISTEN")
+  String listen;
+
+  @Option(names = "--directory", paramLabel = "ADDRESS", description = "the directory; also LB_DISCOVERY")
+  String directory;
+
+  @Option(names = "--set", paramLabel = "KEY=VALUE", description = "any key of the operator's file; repeatable")
+  Map<String, String> keys = new LinkedHashMap<>();
+
+  /** All sources: these options and the environment. */
+  Sources sources() {
+    Map<String, String> flags = new LinkedHashMap<>(keys);
+    put(flags, "instance.platform", platform);
+    put(flags, "instance.name", name);
+    put(flags, "instance.listen", listen);
+    put(flags, "instance.directory", directory);
+    Sources environment = Sources.of(System.getenv());
+    return new Sources(config == null ? environment.file() : config, flags, environment.environment());
+  }
+
+  private static void put(Map<String, String> flags, String key, String value) {
+    if (value != null) {
+      flags.put(key, value);
+    }
+  }
+}
--- a/proxy/src/main/java/amberhoist/config/Config.java
+++ b/proxy/src/main/java/amberhoist/config/Config.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * What the proxy is told at its start.
@@ -54,6 +55,11 @@
     return load(others, clock);
   }
 
+  /** The same with another limit of descriptors. */
+  Config withSockets(int descriptors) {
+    return new Config(name, listen, discovery, seed, descriptors, known, settings, limits);
+  }
+
   private static Config read(JsonParser in, Map<String, String> environment, Clock clock) throws IOException {
     String name = environment.get("LB_NAME");
     String listen = environment.get("LB_LISTEN");
@@ -113,8 +119,21 @@
   public static final class BadConfig extends Exception {
     private static final long serialVersionUID = 1;
 
+    private final transient List<Problem> problems;
+
     BadConfig(String message) {
       super(message);
+      problems = List.of(new Problem("platform", "", message));
+    }
+
+    BadConfig(List<Problem> problems) {
+      super(problems.stream().map(Problem::toString).collect(Collectors.joining("; ")));
+      this.problems = problems;
+    }
+
+    /** All that is wrong, one each. */
+    public List<Problem> problems() {
+      return problems;
     }
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/config/Values.java
@@ -0,0 +1,104 @@
+package amberhoist.config;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/** Values as the operator's file writes them, with the unit in the value. */
+final class Values {
+  private static final Pattern AMOUNT = Pattern.compile("(\\d{1,15})(us|ms|s|m|h|B|KiB|MiB|GiB)");
+
+  private Values() {}
+
+  /** Reads a value of this type, or throws with what was expected. */
+  static Object parse(Class<?> type, String text) {
+    if (type == String.class) {
+      return text;
+    }
+    if (type == int.class) {
+      try {
+        return Integer.parseInt(text);
+      } catch (NumberFormatException fault) {
+        throw new IllegalArgumentException(expected(type), fault);
+      }
+    }
+    if (type == Duration.class) {
+      return duration(text);
+    }
+    if (type == Size.class) {
+      return size(text);
+    }
+    for (Object constant : type.getEnumConstants()) {
+      if (write(constant).equals(text)) {
+        return constant;
+      }
+    }
+    throw new IllegalArgumentException(expected(type));
+  }
+
+  private static Duration duration(String text) {
+    Matcher matcher = AMOUNT.matcher(text);
+    Duration unit = !matcher.matches() ? null : switch (matcher.group(2)) {
+      case "us" -> Duration.ofNanos(1000);
+      case "ms" -> Duration.ofMillis(1);
+      case "s" -> Duration.ofSeconds(1);
+      case "m" -> Duration.ofMinutes(1);
+      case "h" -> Duration.ofHours(1);
+      default -> null;
+    };
+    if (unit == null) {
+      throw new IllegalArgumentException(expected(Duration.class));
+    }
+    return unit.multipliedBy(Long.parseLong(matcher.group(1)));
+  }
+
+  private static Size size(String text) {
+    Matcher matcher = AMOUNT.matcher(text);
+    long unit = !matcher.matches() ? 0 : switch (matcher.group(2)) {
+      case "B" -> 1;
+      case "KiB" -> 1L << 10;
+      case "MiB" -> 1L << 20;
+      case "GiB" -> 1L << 30;
+      default -> 0;
+    };
+    if (unit == 0) {
+      throw new IllegalArgumentException(expected(Size.class));
+    }
+    return new Size(unit * Long.parseLong(matcher.group(1)));
+  }
+
+  /** What a value of this type looks like. */
+  static String expected(Class<?> type) {
+    if (type == int.class) {
+      return "a whole number";
+    } else if (type == Duration.class) {
+      return "a time with its unit, such as \"250ms\" (us, ms, s, m, h)";
+    } else if (type == Size.class) {
+      return "a size with its unit, such as \"64KiB\" (B, KiB, MiB, GiB)";
+    } else if (type == String.class) {
+      return "a text";
+    }
+    return "one of " + Arrays.stream(type.getEnumConstants()).map(constant -> '"' + write(constant) + '"')
+        .collect(Collectors.joining(", "));
+  }
+
+  /** Writes a value as it is read. */
+  static String write(Object value) {
+    if (value instanceof Duration duration) {
+      long micros = duration.toNanos() / 1000;
+      if (micros % 1000 != 0) {
+        return micros + "us";
+      }
+      return micros % 1_000_000 == 0 && micros > 0 ? micros / 1_000_000 + "s" : micros / 1000 + "ms";
+    }
+    return value instanceof Enum<?> constant ? constant.name().toLowerCase(Locale.ROOT) : String.valueOf(value);
+  }
+
+  /** The same with the quotes that TOML wants. */
+  static String toml(Object value) {
+    return value instanceof Integer ? write(value) : '"' + write(value) + '"';
+  }
+}
--- a/proxy/src/main/java/amberhoist/core/Calls.java
+++ b/proxy/src/main/java/amberhoist/core/Calls.java
@@ -18,15 +18,17 @@
   private final EventQueue events;
   private final Commands commands;
   private final Counters counters;
+  private final Telemetry telemetry;
   private final Over over;
 
   Calls(SlotTable<Invocation> invocations, Wheel wheel, EventQueue events, Commands commands,
-      Counters counters, Over over) {
+      Counters counters, Telemetry telemetry, Over over) {
     this.invocations = invocations;
     this.wheel = wheel;
     this.events = events;
     this.commands = commands;
     this.counters = counters;
+    this.telemetry = telemetry;
     this.over = over;
   }
 
@@ -94,6 +96,7 @@
   /** Ends the call that is out, and tells what follows. */
   void end(long number, Invocation it, Outcome outcome) {
     count(outcome);
+    telemetry.called(number, it.called, outcome, events.now() - it.callStart);
     boolean unwilling = it.provider == SlotTable.NONE || outcome == Outcome.ERROR || outcome == Outcome.FULL;
     it.cancelCallTimers();
     commands.abandon(it.provider); // before any next call: never two out
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -1,6 +1,7 @@
 package amberhoist.core;
 
 import amberhoist.core.Invocation.Phase;
+import amberhoist.core.Telemetry.Answer;
 import amberhoist.decide.Balancer.ListKind;
 import amberhoist.decide.Balancer.Outcome;
 import amberhoist.decide.Balancer.Request;
@@ -9,7 +10,10 @@
 import amberhoist.decide.Balancer;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Counters;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * The core: events from the sockets and the clock go in, commands come out, and the balancer decides. It does
@@ -28,6 +32,7 @@
   private final Wheel wheel;
   private final Commands commands;
   private final Counters counters;
+  private final Telemetry telemetry;
   private final EventQueue events = new EventQueue();
   private final Calls calls;
   private final SilenceWatch silence;
@@ -38,14 +43,15 @@
 
   /** A core for one balancer, which is started by {@link #start}. */
   public Core(Balancer balancer, Wheel wheel, Commands commands, Counters counters, Limits limits,
-      Timing timing) {
+      Timing timing, Telemetry telemetry) {
     this.balancer = balancer;
     this.wheel = wheel;
     this.commands = commands;
     this.counters = counters;
     this.limits = limits;
     this.timing = timing;
-    calls = new Calls(invocations, wheel, events, commands, counters, this::over);
+    this.telemetry = telemetry;
+    calls = new Calls(invocations, wheel, events, commands, counters, telemetry, this::over);
     silence = new SilenceWatch(invocations, wheel, events, timing, this::lose);
     stopping = new Stopping(invocations, wheel, events, this::move, this::giveUp);
   }
@@ -156,6 +162,8 @@
       }
       counters.add(Count.CALL_UP);
       counters.add(Count.ANSWERED_UP);
+      telemetry.called(number, it.called, null, events.now() - it.callStart);
+      telemetry.answered(number, Answer.UP, events.now() - it.arrived);
       it.cancelTimers();
       it.phase = Phase.UP;
       silence.joined(number, it);
@@ -213,6 +221,7 @@
 
   private void lose(Invocation it, long number) {
     counters.add(Count.SILENT);
+    telemetry.silent(number, it.called);
     commands.move(it.client);
     end(number, it, Outcome.RESET);
   }
@@ -282,6 +291,7 @@
       if (it != null && it.phase != Phase.UP) {
         counters.invariant(!it.balanced, "no answer at the deadline");
         counters.add(Count.ANSWERED_REJECTION);
+        telemetry.answered(number, Answer.REJECTION, events.now() - it.arrived);
         commands.reject(it.client, 0);
         depart(number, it);
       }
@@ -299,20 +309,21 @@
 
   @Override
   public void refuse(long request, long retryAfter) {
-    answer(request, Count.ANSWERED_REJECTION, it -> commands.reject(it.client, retryAfter));
+    answer(request, Count.ANSWERED_REJECTION, Answer.REJECTION, it -> commands.reject(it.client, retryAfter));
   }
 
   @Override
   public void fail(long request) {
-    answer(request, Count.ANSWERED_FAILURE, it -> commands.fail(it.client));
+    answer(request, Count.ANSWERED_FAILURE, Answer.FAILURE, it -> commands.fail(it.client));
   }
 
-  private void answer(long number, Count count, java.util.function.Consumer<Invocation> answer) {
+  private void answer(long number, Count count, Answer kind, Consumer<Invocation> answer) {
     Invocation it = invocations.remove(number);
     counters.invariant(it != null && it.phase == Phase.WAITING, "an answer that is not owed");
     if (it != null) {
       it.cancelTimers();
       counters.add(count);
+      telemetry.answered(number, kind, events.now() - it.arrived);
       answer.accept(it);
     }
   }
@@ -359,10 +370,23 @@
   private void giveUp(long number) {
     Invocation it = invocations.get(number);
     counters.add(Count.ANSWERED_REJECTION);
+    telemetry.answered(number, Answer.REJECTION, events.now() - it.arrived);
     commands.reject(it.client, timing.stopAdvice());
     depart(number, it);
   }
 
+  /** How many invocations are joined to each provider, by its name. */
+  public Map<String, Integer> standing() {
+    Map<String, Integer> standing = new HashMap<>();
+    invocations.forEach(number -> {
+      Invocation it = invocations.get(number);
+      if (it.phase == Phase.UP) {
+        standing.merge(it.called, 1, Integer::sum);
+      }
+    });
+    return standing;
+  }
+
   /** How many invocations are held, called or joined. */
   public int size() {
     return invocations.size();
--- a/proxy/src/main/java/amberhoist/directory/AddressBook.java
+++ b/proxy/src/main/java/amberhoist/directory/AddressBook.java
@@ -1,23 +1,42 @@
 package amberhoist.directory;
 
+import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer.State;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
-/** Where providers are to be reached from here, as the directory told last. It belongs to the loop's thread. */
+/** The providers as the directory told last, and where they are reached. It belongs to the loop's thread. */
 public final class AddressBook {
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+  private final Map<String, Server> listed = new TreeMap<>();
 
-  /** Takes up news; replaces all that was known when {@code whole}. */
-  public void update(Map<String, InetSocketAddress> news, boolean whole) {
-    if (whole) {
+  /** Takes up news; replaces all that was known when they are the whole list. */
+  public void update(News news) {
+    if (news.whole()) {
       addresses.clear();
+      listed.clear();
+    }
+    addresses.putAll(news.addresses());
+    for (Server server : news.providers()) {
+      if (server.state() == State.GONE) {
+        listed.remove(server.name());
+      } else {
+        listed.put(server.name(), server);
+      }
     }
-    addresses.putAll(news);
   }
 
   /** The address of a provider, or null when none is known. */
   public InetSocketAddress of(String provider) {
     return addresses.get(provider);
   }
+
+  /** The providers that have not left, by name. */
+  public List<Server> listed() {
+    return new ArrayList<>(listed.values());
+  }
 }
--- a/proxy/src/main/java/amberhoist/front/line/LineClients.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClients.java
@@ -3,6 +3,8 @@
 import amberhoist.core.Core;
 import amberhoist.front.ClientSide;
 import amberhoist.front.Front;
+import amberhoist.log.Event;
+import amberhoist.log.EventLog;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Counters;
 import amberhoist.net.Connection.Role;
@@ -31,17 +33,19 @@
   private final Transport transport;
   private final Lobby lobby;
   private final Counters counters;
+  private final EventLog log;
   private final Map<String, Long> ids = new HashMap<>(); // of the clients held or joined
   private LineLimits limits = LineLimits.DEFAULT;
   private long mostAdvice = Long.MAX_VALUE;
   private Core core;
 
   /** A front for clients on this transport; {@link #wire} names its core. */
-  public LineClients(Loop loop, Transport transport, Lobby lobby, Counters counters) {
+  public LineClients(Loop loop, Transport transport, Lobby lobby, Counters counters, EventLog log) {
     this.loop = loop;
     this.transport = transport;
     this.lobby = lobby;
     this.counters = counters;
+    this.log = log;
   }
 
   /** Names the core. */
@@ -64,7 +68,7 @@
   public void accepted(AsynchronousSocketChannel channel) {
     Connection c = transport.accepted(channel, this);
     c.attach(new Greeting());
-    c.timer(loop.wheel().arm(loop.now() + limits.firstLine(), at -> malformed(c)));
+    c.timer(loop.wheel().arm(loop.now() + limits.firstLine(), at -> malformed(c, "no first line in time")));
     transport.read(c);
   }
 
@@ -72,7 +76,7 @@
   public void input(Connection c) {
     if (c.role() == Role.CLIENT && !c.joined()) {
       // Guards against lines for a provider that never saw them: a client waits after its first one.
-      malformed(c);
+      malformed(c, "lines before the answer");
       core.clientLeft(loop.now(), c.invocation());
       return;
     }
@@ -90,7 +94,7 @@
       }
     } catch (IOException overlong) {
       if (c.role() == Role.NEW) {
-        malformed(c);
+        malformed(c, "a first line without end");
       } else {
         transport.broken(c);
       }
@@ -100,11 +104,11 @@
   private void firstLine(Connection c, byte[] line) {
     String text = Lines.text(line);
     if (text == null) {
-      malformed(c);
+      malformed(c, "a line without CRLF");
     } else if (text.equals("PING")) {
       counters.add(Count.PINGED);
       if (++((Greeting) c.attachment()).pings > limits.pings()) {
-        malformed(c);
+        malformed(c, "too many PINGs");
       } else {
         transport.send(c, PONG);
       }
@@ -112,14 +116,14 @@
       try {
         opening(c, Opening.parse(text));
       } catch (MalformedLine fault) {
-        malformed(c);
+        malformed(c, fault.getMessage());
       }
     }
   }
 
   private void opening(Connection c, Opening opening) {
     if (c.pending() > 0 || ids.containsKey(opening.id())) {
-      malformed(c); // sent more without waiting, or took the id of a client that is still here
+      malformed(c, c.pending() > 0 ? "lines before the answer" : "an id that is in use");
       return;
     }
     c.timer(null);
@@ -128,6 +132,7 @@
     ids.put(opening.id(), c.number());
     if (!lobby.room(0) || lobby.crowded() && opening.provider() == null) {
       counters.add(Count.CROWDED_OUT);
+      log.tell(Event.CLIENT_CROWDED_OUT, "descriptors run short", "peer", c.peerAddress());
       reject(c, limits.crowdedAdvice()); // a provider connection would take the last descriptors
       return;
     }
@@ -140,8 +145,9 @@
     });
   }
 
-  private void malformed(Connection c) {
+  private void malformed(Connection c, String why) {
     counters.add(Count.MALFORMED);
+    log.tell(Event.CLIENT_MALFORMED, why, "peer", c.peerAddress());
     c.linger(limits.badLinger());
     answer(c, ERR);
   }
@@ -169,7 +175,7 @@
   private void end(Connection c, Consumer<Connection> ending, boolean reset) {
     if (c.role() == Role.NEW) {
       if (!reset && c.pending() > 0) {
-        malformed(c); // a first line that is never finished
+        malformed(c, "a first line that is never finished");
       }
       ending.accept(c);
       return;
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/log/JsonLines.java
@@ -0,0 +1,78 @@
+package amberhoist.log;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.IThrowableProxy;
+import ch.qos.logback.core.AppenderBase;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.time.Instant;
+import org.slf4j.event.KeyValuePair;
+
+/**
+ * Sets Logback up to write one JSON object a line to standard error, fields side by side. Only the JSON format
+ * loads Logback: it takes some megabytes more than the text format's backend (see docs/design/logging.md).
+ */
+public final class JsonLines extends ContextAwareBase implements Configurator {
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private static final class Lines extends AppenderBase<ILoggingEvent> {
+    @Override
+    protected void append(ILoggingEvent event) {
+      System.err.print(line(event));
+    }
+  }
+
+  @Override
+  public ExecutionStatus configure(LoggerContext context) {
+    Lines lines = new Lines();
+    lines.setContext(context);
+    lines.start();
+    Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.TRACE); // what is told at all is decided before
+    root.addAppender(lines);
+    return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+  }
+
+  static String line(ILoggingEvent event) {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator out = JSON.createGenerator(text)) {
+      out.writeStartObject();
+      out.writeStringField("time", Instant.ofEpochMilli(event.getTimeStamp()).toString());
+      out.writeStringField("level", event.getLevel().toString());
+      out.writeStringField("logger", event.getLoggerName());
+      if (event.getKeyValuePairs() != null) {
+        for (KeyValuePair pair : event.getKeyValuePairs()) {
+          if (pair.value instanceof Number number) {
+            out.writeNumberField(pair.key, number.longValue());
+          } else {
+            out.writeStringField(pair.key, String.valueOf(pair.value));
+          }
+        }
+      }
+      out.writeStringField("message", event.getFormattedMessage());
+      if (event.getThrowableProxy() != null) {
+        fault(out, event.getThrowableProxy());
+      }
+      out.writeEndObject();
+    } catch (IOException impossible) {
+      throw new IllegalStateException(impossible); // a StringWriter takes everything
+    }
+    return text + "\n";
+  }
+
+  private static void fault(JsonGenerator out, IThrowableProxy fault) throws IOException {
+    out.writeStringField("fault", fault.getClassName());
+    out.writeArrayFieldStart("stack");
+    for (var frame : fault.getStackTraceElementProxyArray()) {
+      out.writeString(frame.getSTEAsString());
+    }
+    out.writeEndArray();
+  }
+}
--- a/proxy/src/main/java/amberhoist/metrics/Counters.java
+++ b/proxy/src/main/java/amberhoist/metrics/Counters.java
@@ -1,6 +1,8 @@
 package amberhoist.metrics;
 
 import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Collectors;
 
@@ -56,6 +58,13 @@
     return counts.getOrDefault(count, 0L);
   }
 
+  /** All counts that are not zero, by their names in small letters. */
+  public Map<String, Long> all() {
+    Map<String, Long> all = new LinkedHashMap<>();
+    counts.forEach((count, number) -> all.put(count.name().toLowerCase(Locale.ROOT), number));
+    return all;
+  }
+
   /**
    * States what must hold at this point: an assertion in debug builds (java -ea), a count in release builds,
    * where the proxy carries on.
@@ -70,8 +79,7 @@
   /** All counts that are not zero, on one line. */
   @Override
   public String toString() {
-    return counts.entrySet().stream()
-        .map(e -> e.getKey().name().toLowerCase(java.util.Locale.ROOT) + '=' + e.getValue())
+    return all().entrySet().stream().map(e -> e.getKey() + '=' + e.getValue())
         .collect(Collectors.joining(" "));
   }
 }
--- a/proxy/src/main/java/amberhoist/net/Connection.java
+++ b/proxy/src/main/java/amberhoist/net/Connection.java
@@ -151,6 +151,15 @@
     return null;
   }
 
+  /** The address of the other end, for the log. */
+  public String peerAddress() {
+    try {
+      return String.valueOf(channel.getRemoteAddress());
+    } catch (IOException gone) {
+      return "gone";
+    }
+  }
+
   /** Closes the socket at once. */
   void close() {
     if (timer != null) {
--- a/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
+import java.util.function.ObjLongConsumer;
 
 /**
  * Keeps a watch on the directory. A watch that fails, breaks or falls silent is followed by another after a
@@ -50,6 +51,7 @@
   private final SlotTable<Watch> watches = new SlotTable<>();
   private long current = SlotTable.NONE;
   private long index;
+  private final ObjLongConsumer<String> failures;
   private WatchTiming timing;
   private long pause;
   private Timer timer;
@@ -59,13 +61,17 @@
   private final CompletionHandler<Integer, Long> wrote = handler((watch, bytes) -> write(watch));
   private final CompletionHandler<Integer, Long> read = handler(this::read);
 
-  /** A watch on the directory at this address, from this version of the list on. */
+  /**
+   * A watch on the directory at this address, from this version of the list on; {@code failures} is told why one
+   * failed, and after how many milliseconds another follows.
+   */
   public DirectoryWatch(Loop loop, Core core, AddressBook addresses, Counters counters, WatchTiming timing,
-      InetSocketAddress address, long index, long seed) {
+      InetSocketAddress address, long index, long seed, ObjLongConsumer<String> failures) {
     this.loop = loop;
     this.core = core;
     this.addresses = addresses;
     this.timing = timing;
+    this.failures = failures;
     pause = timing.pause();
     this.counters = counters;
     this.address = address;
@@ -191,7 +197,7 @@
     News news = News.parse(line, loop.clock());
     counters.add(Count.DIRECTORY_NEWS);
     index = news.index();
-    addresses.update(news.addresses(), news.whole());
+    addresses.update(news);
     core.directory(loop.now(), news.whole() ? ListKind.FULL : ListKind.CHANGES, news.providers());
   }
 
@@ -218,9 +224,9 @@
   private void failed(String why) {
     current = SlotTable.NONE;
     counters.add(Count.DIRECTORY_FAILURES);
-    System.err.println("directory: " + why);
     long wait = pause + (long) (random.nextDouble() * pause);
     pause = Math.min(2 * pause, timing.pauseMost());
+    failures.accept(why, wait / 1000);
     if (timer != null) {
       timer.cancel();
     }
--- a/proxy/src/main/java/amberhoist/net/Loop.java
+++ b/proxy/src/main/java/amberhoist/net/Loop.java
@@ -7,6 +7,8 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
  * The one thread that owns core and module. Completions of the channel group and the wheel's ticks are tasks
@@ -22,9 +24,20 @@
   private final AsynchronousChannelGroup group;
   private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
   private boolean running;
+  private long lastTick = clock.now();
 
-  /** Starts the thread and its channel group. */
-  public Loop() throws IOException {
+  private final Consumer<Throwable> faults;
+  private final LongConsumer lag;
+
+  /**
+   * Starts the thread and its channel group.
+   *
+   * @param faults is told of a task that failed
+   * @param lag is told at each tick by how many microseconds it came late
+   */
+  public Loop(Consumer<Throwable> faults, LongConsumer lag) throws IOException {
+    this.faults = faults;
+    this.lag = lag;
     executor = new ScheduledThreadPoolExecutor(1, task -> new Thread(null, task, "loop", 1 << 18));
     executor.setRemoveOnCancelPolicy(true);
     group = AsynchronousChannelGroup.withThreadPool(executor);
@@ -32,7 +45,10 @@
   }
 
   private void tick() {
-    wheel.advance(clock.now());
+    long now = clock.now();
+    lag.accept(Math.max(0, now - lastTick - TICK));
+    wheel.advance(now);
+    lastTick = clock.now();
   }
 
   /** Runs a task behind those that are already waiting. */
@@ -57,12 +73,11 @@
   }
 
   /** One fault must not end the loop, nor go unseen; so too when memory ran out for one task. */
-  private static void guard(Runnable task) {
+  private void guard(Runnable task) {
     try {
       task.run();
     } catch (RuntimeException | Error fault) {
-      System.err.println("fault: " + fault);
-      fault.printStackTrace();
+      faults.accept(fault);
     }
   }
 
@@ -96,7 +111,7 @@
     try {
       group.shutdownNow();
     } catch (IOException closed) {
-      System.err.println("closing: " + closed);
+      faults.accept(closed);
     }
     executor.shutdownNow();
   }
--- a/proxy/src/main/java/amberhoist/net/Resets.java
+++ b/proxy/src/main/java/amberhoist/net/Resets.java
@@ -7,6 +7,7 @@
 import java.net.SocketOption;
 import java.net.StandardSocketOptions;
 import java.nio.channels.AsynchronousSocketChannel;
+import org.slf4j.LoggerFactory;
 
 /**
  * Ends a connection by a reset. Asynchronous channels do not offer SO_LINGER, the one way to ask for that, so
@@ -34,7 +35,8 @@
       descriptor.setAccessible(true);
       return set;
     } catch (ReflectiveOperationException | RuntimeException shut) {
-      System.err.println("connections will end by FIN where a reset was due: " + shut);
+      LoggerFactory.getLogger(Resets.class)
+          .warn("connections will end by FIN where a reset was due: {}", shut.toString());
       return null;
     }
   }
--- a/proxy/src/main/java/amberhoist/net/Signals.java
+++ b/proxy/src/main/java/amberhoist/net/Signals.java
@@ -2,6 +2,7 @@
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
+import org.slf4j.LoggerFactory;
 
 /**
  * Signals that the JVM has no public interface for. Guards against SIGHUP ending the process: without a
@@ -29,7 +30,8 @@
       signal.getMethod("handle", signal, handler)
           .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
     } catch (ReflectiveOperationException | RuntimeException shut) {
-      System.err.println("SIGHUP will end this process, no handler can be set: " + shut);
+      LoggerFactory.getLogger(Signals.class)
+          .warn("SIGHUP will end this process, no handler can be set: {}", shut.toString());
     }
   }
 }
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -1,27 +1,35 @@
 package amberhoist.service;
 
+import amberhoist.admin.AdminSocket;
+import amberhoist.admin.Status;
+import amberhoist.config.AdminAddress;
 import amberhoist.config.Config.BadConfig;
 import amberhoist.config.Config;
+import amberhoist.config.Operator;
+import amberhoist.config.Setup.Sources;
+import amberhoist.config.Setup;
 import amberhoist.core.Core;
-import amberhoist.core.Timing;
 import amberhoist.decide.Policy;
 import amberhoist.directory.AddressBook;
 import amberhoist.front.Switchboard;
 import amberhoist.front.line.LineClients;
-import amberhoist.front.line.LineLimits;
 import amberhoist.front.line.LineProviders;
+import amberhoist.log.Event;
+import amberhoist.log.EventLog;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Counters;
+import amberhoist.metrics.Latencies.Span;
+import amberhoist.metrics.Latencies;
 import amberhoist.net.Acceptor;
 import amberhoist.net.Connection;
 import amberhoist.net.DirectoryWatch;
 import amberhoist.net.Lobby;
 import amberhoist.net.Loop;
-import amberhoist.net.SocketLimits;
 import amberhoist.net.Transport;
-import amberhoist.net.WatchTiming;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -30,44 +38,60 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-/** A whole proxy: core and module on a loop, with sockets and directory round them. */
+/** A whole proxy: core and module on a loop, with sockets, directory and admin socket round them. */
 public final class Service {
   private static final long CLOSING = 300_000; // for the last FINs to be exchanged
-
+  private static final long SUPPRESSED_EACH = 10_000_000; // between tellings of what the log left out
   private static final int OWN_DESCRIPTORS = 24; // 12 of the runtime and the group, two watches, the file
   private static final int LEAST_DESCRIPTORS = 18;
 
   private final Loop loop;
+  private final EventLog log;
   private final Counters counters = new Counters();
+  private final Latencies latencies = new Latencies();
   private final AddressBook addresses = new AddressBook();
-  private final Lobby lobby;
+  private final Lobby lobby = new Lobby(this::evict);
   private final Transport transport;
   private final LineClients clients;
   private final Acceptor acceptor;
   private final Core core;
   private final DirectoryWatch directory;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private volatile Setup setup;
+  private volatile AdminSocket admin;
+  private List<String> restartNeeded = List.of(); // of the loop's thread
+  private boolean stopping; // of the loop's thread
+  private InetSocketAddress watched; // of the loop's thread
+  private long servesSince;
 
-  private Service(Config config) throws IOException {
-    loop = new Loop();
-    lobby = new Lobby(this::evict);
-    transport = new Transport(loop, lobby, SocketLimits.DEFAULT);
-    clients = new LineClients(loop, transport, lobby, counters);
-    LineProviders providers = new LineProviders(loop, transport, counters, addresses,
-        (provider, fault) -> System.err.println("cannot connect to " + provider + ": " + fault));
-    acceptor = new Acceptor(loop, lobby, counters, SocketLimits.DEFAULT, clients::accepted);
-    Switchboard switchboard =
-        new Switchboard(transport, providers, this::ensureWatch, System.err::println);
-    core = new Core(new Policy(), loop.wheel(), switchboard, counters, config.limits(), Timing.DEFAULT);
-    directory = new DirectoryWatch(loop, core, addresses, counters, WatchTiming.DEFAULT, config.discovery(),
-        config.known().index(), config.seed());
+  private Service(Setup setup) throws IOException {
+    this.setup = setup;
+    Config config = setup.config();
+    Operator operator = setup.operator();
+    log = new EventLog(config.name(), operator.logSettings());
+    loop = new Loop(fault -> log.fault(Event.LOOP_FAULT, "a task failed", fault),
+        late -> latencies.record(Span.LOOP_LAG, late));
+    transport = new Transport(loop, lobby, operator.socketLimits());
+    clients = new LineClients(loop, transport, lobby, counters, log);
+    LineProviders providers = new LineProviders(loop, transport, counters, addresses, (provider, fault) ->
+        log.tell(Event.PROVIDER_UNDIALLED, "cannot connect", "provider", provider, "why", fault));
+    acceptor = new Acceptor(loop, lobby, counters, operator.socketLimits(), clients::accepted);
+    Switchboard switchboard = new Switchboard(transport, providers, this::ensureWatch,
+        message -> log.tell(Event.MODULE_SAID, message));
+    core = new Core(new Policy(), loop.wheel(), switchboard, counters, config.limits(), operator.timing(),
+        new Telling(log, latencies));
+    watched = config.discovery();
+    directory = new DirectoryWatch(loop, core, addresses, counters, operator.watchTiming(), watched,
+        config.known().index(), config.seed(), (why, pause) ->
+            log.tell(Event.DIRECTORY_FAILED, "the watch failed", "why", why, "pause_ms", pause));
     clients.wire(core);
     providers.wire(core);
-    limit(config);
+    limit(setup);
   }
 
   private void evict(Connection c) {
     counters.add(Count.EVICTED);
+    log.tell(Event.CLIENT_EVICTED, "descriptors run short", "peer", c.peerAddress());
     transport.drop(c);
   }
 
@@ -75,21 +99,29 @@
     directory.ensure();
   }
 
-  private void limit(Config config) {
-    lobby.limit(Math.max(LEAST_DESCRIPTORS, config.sockets() - OWN_DESCRIPTORS));
-    clients.limits(LineLimits.DEFAULT, config.settings().maxRetryAfter());
+  private void limit(Setup by) {
+    lobby.limit(Math.max(LEAST_DESCRIPTORS, by.config().sockets() - OWN_DESCRIPTORS));
+    clients.limits(by.operator().lineLimits(), by.config().settings().maxRetryAfter());
   }
 
-  /** Starts a proxy; returns when it listens. */
+  /** Starts a proxy by the platform's configuration alone; returns when it listens. */
   public static Service start(Config config) throws IOException {
-    Service service = new Service(config);
+    return start(new Setup(config, Operator.DEFAULT, Map.of()));
+  }
+
+  /** Starts a proxy; returns when it listens. */
+  public static Service start(Setup setup) throws IOException {
+    Service service = new Service(setup);
+    Config config = setup.config();
     CompletableFuture<Void> open = new CompletableFuture<>();
     service.loop.post(() -> {
       try {
-        service.addresses.update(config.known().addresses(), true);
+        service.addresses.update(config.known());
         service.core.start(service.loop.now(), config.settings(), config.seed(), config.known().providers());
         service.directory.ensure();
         service.acceptor.open(config.listen());
+        service.servesSince = service.loop.now();
+        service.tellSuppressed();
         open.complete(null);
       } catch (IOException | RuntimeException fault) {
         open.completeExceptionally(fault);
@@ -97,39 +129,59 @@
     });
     try {
       open.get();
-      System.err.println(config.name() + " serves on " + service.acceptor.address());
+      service.listenToOperators();
+      InetSocketAddress address = service.address();
+      service.log.tell(Event.PROXY_SERVES, config.name() + " serves on " + address, "address", address);
       return service;
-    } catch (InterruptedException | ExecutionException fault) {
+    } catch (InterruptedException | ExecutionException | IOException fault) {
       service.loop.close();
       throw new IOException(fault.getMessage(), fault);
     }
   }
 
+  private void listenToOperators() throws IOException {
+    Operator.Admin keys = setup.operator().admin();
+    SocketAddress address = AdminAddress.parse(keys.listen());
+    if (address != null) {
+      admin = new AdminSocket(address, keys.timeout(), new AdminSource(), log);
+    }
+  }
+
+  private void tellSuppressed() {
+    log.tellSuppressed();
+    loop.wheel().arm(loop.now() + SUPPRESSED_EACH, at -> tellSuppressed());
+  }
+
   /** The address that is listened on. */
   public InetSocketAddress address() throws IOException {
     return acceptor.address();
   }
 
+  /** Where the admin socket answers, or null. */
+  public SocketAddress adminAddress() {
+    return admin == null ? null : admin.address();
+  }
+
+  /** The same as {@link #reload(Sources)} with the environment alone. */
+  public void reload(Map<String, String> environment) {
+    reload(Sources.of(environment));
+  }
+
   /**
-   * Reads the configuration again and goes on with it: directory, settings and limits. Name and address stay
-   * as they are. A file that cannot be used changes nothing. It may be called from any thread, at any time:
-   * the file is read on the caller's, and the loop takes up what was read last.
+   * Reads the configuration again and goes on with it: directory, settings, limits and the operator's keys. Name
+   * and address stay as they are. Anything in it that cannot be used changes nothing. It may be called from any
+   * thread, at any time: the files are read on the caller's, and the loop takes up what was read last.
    */
-  public synchronized void reload(Map<String, String> environment) {
+  public synchronized void reload(Sources sources) {
     Runnable task;
     try {
-      Config config = Config.reload(environment, loop.clock());
-      task = () -> {
-        counters.add(Count.RELOADS);
-        limit(config);
-        core.configure(loop.now(), config.settings(), config.limits(), Timing.DEFAULT);
-        directory.move(config.discovery());
-        System.err.println("configuration read again, directory at " + config.discovery());
-      };
+      Setup fresh = Setup.reload(sources, loop.clock());
+      task = () -> take(fresh);
     } catch (BadConfig fault) {
       task = () -> {
         counters.add(Count.RELOADS_REFUSED);
-        System.err.println("the configuration stays as it was: " + fault.getMessage());
+        fault.problems().forEach(problem ->
+            log.tell(Event.CONFIG_REFUSED, "the configuration stays as it was: " + problem, "why", problem));
       };
     }
     try {
@@ -139,35 +191,64 @@
     }
   }
 
+  /** Takes up a whole setup, on the loop's thread and in one task: nothing ever sees half of it. */
+  private void take(Setup fresh) {
+    counters.add(Count.RELOADS);
+    restartNeeded = Setup.needRestart(setup.operator(), fresh.operator());
+    Setup old = setup;
+    Operator operator = fresh.operator();
+    setup = new Setup(fresh.config(), operator.withRestartKeysOf(old.operator()), fresh.origins());
+    limit(fresh);
+    transport.limits(operator.socketLimits());
+    acceptor.limits(operator.socketLimits());
+    directory.timing(operator.watchTiming());
+    core.configure(loop.now(), fresh.config().settings(), fresh.config().limits(), operator.timing());
+    watched = fresh.config().discovery();
+    directory.move(watched);
+    log.configure(operator.logSettings());
+    log.tell(Event.CONFIG_RELOADED, "configuration read again, directory at " + watched, "directory", watched);
+    if (!restartNeeded.isEmpty()) {
+      log.tell(Event.CONFIG_RESTART_NEEDED, "these keys stay as they were until a restart", "keys",
+          String.join(",", restartNeeded));
+    }
+  }
+
   /** Stops in good order when the process is told to end, and then exits with status 0. */
   public void stopOnSignal() {
     Runtime.getRuntime().addShutdownHook(new Thread(() -> {
       stop();
-      System.err.println(counters);
+      EventLog.flush();
       Runtime.getRuntime().halt(0);
     }, "stop"));
   }
 
   /** Stops in good order; returns when all is closed. */
   public void stop() {
-    loop.post(() -> core.stop(loop.now(), () -> {
-      loop.wheel().arm(loop.now() + CLOSING, at -> {
+    log.tell(Event.PROXY_STOPS, "told to end");
+    loop.post(() -> {
+      stopping = true;
+      core.stop(loop.now(), () -> loop.wheel().arm(loop.now() + CLOSING, at -> {
         acceptor.close();
         transport.close();
         directory.close();
         stopped.countDown();
-      });
-    }));
+      }));
+    });
     try {
       stopped.await(1, TimeUnit.MINUTES);
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
     }
-    loop.close();
+    kill();
+    log.tellSuppressed();
+    log.tell(Event.PROXY_STOPPED, counters.toString());
   }
 
   /** Closes everything at once, as the end of the process would. */
   public void kill() {
+    if (admin != null) {
+      admin.close();
+    }
     loop.close();
   }
 
@@ -181,6 +262,12 @@
     return asked(() -> counters.get(count));
   }
 
+  /** The instance as it is now. */
+  public Status status() {
+    return asked(() -> Statuses.of(setup, stopping, this, (loop.now() - servesSince) / 1000, transport.size(),
+        core, addresses, counters, latencies, log, restartNeeded, watched));
+  }
+
   /** The loop, for stories that hold it up. */
   public Loop loop() {
     return loop;
@@ -190,4 +277,22 @@
   private <T> T asked(Supplier<T> question) {
     return CompletableFuture.supplyAsync(question, loop::post).join();
   }
+
+  /** Answers the admin socket. */
+  private final class AdminSource implements AdminSocket.Source {
+    @Override
+    public Status status() {
+      return Service.this.status();
+    }
+
+    @Override
+    public Map<Span, org.HdrHistogram.AbstractHistogram> latencies() {
+      return asked(() -> Statuses.copies(latencies));
+    }
+
+    @Override
+    public String config() {
+      return Setup.show(setup);
+    }
+  }
 }
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/service/Statuses.java
@@ -0,0 +1,69 @@
+package amberhoist.service;
+
+import amberhoist.admin.Status.Latency;
+import amberhoist.admin.Status.LogStatus;
+import amberhoist.admin.Status.Provider;
+import amberhoist.admin.Status;
+import amberhoist.config.Setup;
+import amberhoist.core.Core;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.directory.AddressBook;
+import amberhoist.log.EventLog;
+import amberhoist.metrics.Counters;
+import amberhoist.metrics.Latencies.Span;
+import amberhoist.metrics.Latencies;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.AbstractHistogram;
+
+/** Draws up the status of an instance, on the loop's thread. */
+final class Statuses {
+  private Statuses() {}
+
+  static Status of(Setup setup, boolean stopping, Service service, long uptime, int connections, Core core,
+      AddressBook addresses, Counters counters, Latencies latencies, EventLog log, List<String> restartNeeded,
+      InetSocketAddress watched) {
+    Map<String, Integer> standing = core.standing();
+    List<Provider> providers = new ArrayList<>();
+    for (Server server : addresses.listed()) {
+      providers.add(new Provider(server.name(), server.zone(), server.state().name().toLowerCase(Locale.ROOT),
+          String.valueOf(addresses.of(server.name())), standing.getOrDefault(server.name(), 0)));
+      standing.remove(server.name());
+    }
+    standing.forEach((name, count) -> providers.add(new Provider(name, "", "unlisted", "", count)));
+    Map<String, Latency> spans = new LinkedHashMap<>();
+    copies(latencies).forEach((span, histogram) -> spans.put(span.name().toLowerCase(Locale.ROOT),
+        new Latency(histogram.getTotalCount(), histogram.getValueAtPercentile(50),
+            histogram.getValueAtPercentile(99), histogram.getMaxValue())));
+    return new Status(setup.config().name(), version(), stopping ? "stopping" : "serving", listen(service),
+        String.valueOf(watched), uptime, connections, core.size(), providers, counters.all(), spans,
+        new LogStatus(log.suppressed(), EventLog.dropped()), restartNeeded);
+  }
+
+  private static String listen(Service service) {
+    try {
+      return String.valueOf(service.address());
+    } catch (IOException closed) {
+      return "closed";
+    }
+  }
+
+  private static String version() {
+    String version = Statuses.class.getPackage().getImplementationVersion();
+    return version == null ? "unpackaged" : version;
+  }
+
+  static Map<Span, AbstractHistogram> copies(Latencies latencies) {
+    Map<Span, AbstractHistogram> copies = new EnumMap<>(Span.class);
+    for (Span span : Span.values()) {
+      copies.put(span, latencies.copy(span));
+    }
+    return copies;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/service/Telling.java
@@ -0,0 +1,43 @@
+package amberhoist.service;
+
+import amberhoist.core.Telemetry;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.log.Event;
+import amberhoist.log.EventLog;
+import amberhoist.metrics.Latencies.Span;
+import amberhoist.metrics.Latencies;
+import java.util.Locale;
+
+/** Takes what the core tells of its work to the log and the latencies. */
+final class Telling implements Telemetry {
+  private final EventLog log;
+  private final Latencies latencies;
+
+  Telling(EventLog log, Latencies latencies) {
+    this.log = log;
+    this.latencies = latencies;
+  }
+
+  @Override
+  public void called(long invocation, String provider, Outcome outcome, long micros) {
+    latencies.record(Span.CALL, micros);
+    log.tell(Event.CALL_ENDED, "an invoker call ended", "invocation", invocation, "provider", provider, "outcome",
+        outcome == null ? "up" : word(outcome), "micros", micros);
+  }
+
+  @Override
+  public void answered(long invocation, Answer answer, long micros) {
+    latencies.record(answer == Answer.UP ? Span.SETUP : Span.TURNED_AWAY, micros);
+    log.tell(Event.INVOCATION_ANSWERED, "an invocation got its final answer", "invocation", invocation, "outcome",
+        word(answer), "micros", micros);
+  }
+
+  @Override
+  public void silent(long invocation, String provider) {
+    log.tell(Event.PROVIDER_SILENT, "a provider returns nothing", "invocation", invocation, "provider", provider);
+  }
+
+  private static String word(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/amberhoist/config/SetupTest.java
@@ -0,0 +1,158 @@
+package amberhoist.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberhoist.clock.Clock;
+import amberhoist.config.Config.BadConfig;
+import amberhoist.config.Setup.Reading;
+import amberhoist.config.Setup.Sources;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SetupTest {
+  private static final String PLATFORM = "{\"name\":\"json\",\"listen\":\"127.0.0.1:1\",\"discovery\":"
+      + "\"127.0.0.1:2\",\"limits\":{\"sockets\":300},\"settings\":{}}";
+
+  @TempDir
+  private Path folder;
+
+  private Path file(String name, String text) throws IOException {
+    return Files.writeString(folder.resolve(name), text);
+  }
+
+  private List<String> problems(String text) throws IOException {
+    Path file = file("bad.toml", text);
+    return Setup.read(new Sources(file, Map.of(), Map.of()), false).problems().stream()
+        .map(problem -> problem.toString().replace(folder + "/", "")).toList();
+  }
+
+  @Test
+  void allThatIsWrongIsToldAtOnceWithLineAndExpectation() throws IOException {
+    List<String> told = problems("""
+        [log]
+        levl = "info"
+        rate = "5"
+        level = "loud"
+
+        [stop]
+        routed = 5        # a time without its unit
+        hold = "20s"
+        [sockets]
+        queue = "1B"
+        [silense]
+        alone = "1s"
+        [nothing]
+        [admin]
+        listen = "0.0.0.0:9"
+        """);
+    assertEquals(List.of(
+        "bad.toml:2: log.levl: unknown key; the nearest known is log.level",
+        "bad.toml:3: log.rate: expected a whole number",
+        "bad.toml:4: log.level: expected one of \"error\", \"warn\", \"info\", \"debug\", \"trace\", not \"loud\"",
+        "bad.toml:7: stop.routed: expected a time with its unit, such as \"250ms\" (us, ms, s, m, h)",
+        "bad.toml:10: sockets.queue: expected 4KiB to 16MiB, not 1B",
+        "bad.toml:12: silense.alone: unknown key; the nearest known is silence.alone",
+        "bad.toml:13: nothing: unknown key",
+        "bad.toml:15: admin.listen: expected \"\", \"unix:/path\" or a loopback address such as"
+            + " \"127.0.0.1:9100\", not \"0.0.0.0:9\"",
+        "bad.toml:8: stop.hold: is longer than stop.longest (20s)"), told);
+  }
+
+  @Test
+  void whatIsNoTomlAndWhatIsNotThereIsToldInOneLine() throws IOException {
+    assertTrue(problems("[log]\nlevel = \"info\"\nrate = = 3\n").get(0).startsWith("bad.toml:3: no TOML: "));
+    assertEquals(1, problems("a = 1\na = 2\n").size());
+    assertEquals(List.of("bad.toml:1: log: expected a table of keys"), problems("log = 3\n"));
+    assertEquals(List.of("bad.toml:1: log.rate: expected a whole number"), problems("log.rate = [1, 2]\n"));
+    Reading missing = Setup.read(new Sources(folder.resolve("none.toml"), Map.of(), Map.of()), false);
+    assertEquals(1, missing.problems().size());
+  }
+
+  @Test
+  void sourcesGoBeforeOneAnotherInTheirOrder() throws Exception {
+    Path platform = file("p.json", PLATFORM);
+    Path file = file("o.toml", "instance.name = \"file\"\nlimits.descriptors = 200\nlog.rate = 9\n"
+        + "instance.platform = \"" + platform + "\"\n[answers]\nmargin = \"20ms\"\n");
+    Map<String, String> environment = new HashMap<>();
+    Map<String, String> flags = new HashMap<>();
+    Sources sources = new Sources(file, flags, environment);
+    Setup setup = Setup.load(sources, new Clock());
+    assertEquals("json", setup.config().name());
+    assertEquals(300, setup.config().sockets(), "the platform's JSON goes before the file");
+    assertEquals(9, setup.operator().log().rate(), "the file before the defaults");
+    assertEquals(20_000, setup.operator().timing().answerMargin());
+    assertEquals(Operator.DEFAULT.log().burst(), setup.operator().log().burst());
+    environment.put("LB_NAME", "variable");
+    environment.put("AMBERHOIST_LOG_RATE", "8");
+    environment.put("AMBERHOIST_LIMITS_DESCRIPTORS", "400");
+    setup = Setup.load(sources, new Clock());
+    assertEquals("variable", setup.config().name());
+    assertEquals(8, setup.operator().log().rate());
+    assertEquals(400, setup.config().sockets());
+    assertEquals("AMBERHOIST_LOG_RATE", setup.origins().get("log.rate"));
+    flags.put("instance.name", "flag");
+    flags.put("log.rate", "7");
+    setup = Setup.load(sources, new Clock());
+    assertEquals("flag", setup.config().name());
+    assertEquals(7, setup.operator().log().rate());
+    assertEquals(platform.toString(), setup.origins().get("instance.listen"));
+  }
+
+  @Test
+  void aReloadHearsTheFilesAndNotTheVariableOfTheDirectory() throws Exception {
+    Path platform = file("p.json", PLATFORM);
+    Sources sources = new Sources(file("o.toml", ""), Map.of(),
+        Map.of("LB_CONFIG", platform.toString(), "LB_DISCOVERY", "127.0.0.1:7"));
+    assertEquals(7, Setup.load(sources, new Clock()).config().discovery().getPort());
+    assertEquals(2, Setup.reload(sources, new Clock()).config().discovery().getPort());
+  }
+
+  @Test
+  void problemsOfBothFilesAreToldTogether() throws Exception {
+    Sources sources = new Sources(file("o.toml", "[log]\nrate = 0\nburst = -1\n"), Map.of("nothing", "1"),
+        Map.of("LB_CONFIG", file("p.json", "{").toString()));
+    BadConfig fault = assertThrows(BadConfig.class, () -> Setup.load(sources, new Clock()));
+    assertEquals(4, fault.problems().size(), fault.getMessage());
+  }
+
+  @Test
+  void theFileCanStandForThePlatformsVariables() throws Exception {
+    Path platform = file("p.json", "{\"settings\":{}}");
+    Setup setup = Setup.load(new Sources(file("o.toml", "[instance]\nname = \"x\"\nlisten = \"127.0.0.1:5\"\n"
+        + "directory = \"127.0.0.1:6\"\nplatform = \"" + platform + "\"\n"), Map.of(), Map.of()), new Clock());
+    assertEquals("x", setup.config().name());
+    assertEquals(6, setup.config().discovery().getPort());
+  }
+
+  @Test
+  void keysThatOnlyARestartTakesUpAreNamedAndStay() throws IOException {
+    Operator before = Operator.DEFAULT;
+    Operator after = Setup.read(new Sources(file("o.toml",
+        "[log]\nformat = \"json\"\nrate = 3\n[sockets]\nbacklog = 9\n"), Map.of(), Map.of()), false).operator();
+    assertEquals(List.of("log.format", "sockets.backlog"), Setup.needRestart(before, after));
+    Operator effective = after.withRestartKeysOf(before);
+    assertEquals(before.log().format(), effective.log().format());
+    assertEquals(3, effective.log().rate());
+  }
+
+  @Test
+  void pagesAndExampleAreFresh() throws IOException {
+    assertEquals(Reference.page(), Files.readString(Path.of("../docs/configuration.md")));
+    assertEquals(Reference.events(), Files.readString(Path.of("../docs/logging.md")));
+    Path example = Path.of("../deploy/amberhoist.toml");
+    assertEquals(Reference.example(), Files.readString(example));
+    Reading reading = Setup.read(new Sources(example, Map.of(), Map.of()), false);
+    assertEquals(List.of(), reading.problems());
+    assertEquals(Operator.DEFAULT, reading.operator(), "each at its default");
+    assertEquals(Set.copyOf(Keys.all().keySet()), Set.copyOf(reading.origins().keySet()), "and every key");
+  }
+}
--- a/proxy/src/test/java/amberhoist/service/Peers.java
+++ b/proxy/src/test/java/amberhoist/service/Peers.java
@@ -2,6 +2,8 @@
 
 import amberhoist.clock.Clock;
 import amberhoist.config.Config;
+import amberhoist.config.Setup;
+import amberhoist.config.Setup.Sources;
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -66,16 +68,31 @@
   private final int sockets;
   private final List<Peer> open = new ArrayList<>();
 
+  private final Path platform = Files.createTempFile("config", ".json");
+  private final Path operator = Files.createTempFile("operator", ".toml");
+
   /** A proxy that knows so many providers, all active, as p0, p1 and so on. */
   Peers(int count, int sockets) throws Exception {
+    this(count, sockets, null);
+  }
+
+  /** The same with this operator's file, null for none. */
+  Peers(int count, int sockets, String keys) throws Exception {
     for (int i = 0; i < count; i++) {
       providers.add(listen());
     }
     this.sockets = sockets;
-    Path file = Files.createTempFile("config", ".json");
-    Files.writeString(file, config(directory));
-    service = Service.start(Config.load(Map.of("LB_CONFIG", file.toString()), new Clock()));
-    Files.delete(file);
+    Files.writeString(platform, config(directory));
+    if (keys == null) {
+      service = Service.start(Config.load(Map.of("LB_CONFIG", platform.toString()), new Clock()));
+    } else {
+      Files.writeString(operator, keys);
+      service = Service.start(Setup.load(sources(Map.of()), new Clock()));
+    }
+  }
+
+  private Sources sources(Map<String, String> flags) {
+    return new Sources(operator, flags, Map.of("LB_CONFIG", platform.toString()));
   }
 
   /** The configuration, naming this directory. */
@@ -98,6 +115,17 @@
     Files.delete(file);
   }
 
+  /** Has a proxy that was started with an operator's file read it again, with this in it. */
+  void reloadWith(String keys) throws IOException {
+    Files.writeString(operator, keys);
+    service.reload(sources(Map.of()));
+  }
+
+  /** The same with this key set besides. */
+  void reloadWith(String key, String value) {
+    service.reload(sources(Map.of(key, value)));
+  }
+
   Peers(int count) throws Exception {
     this(count, 1024);
   }
@@ -184,5 +212,7 @@
     }
     directory.close();
     service.kill();
+    Files.delete(platform);
+    Files.delete(operator);
   }
 }
--- /dev/null
+++ b/proxy/src/test/java/amberhoist/service/ReloadStoriesTest.java
@@ -0,0 +1,144 @@
+package amberhoist.service;
+
+import static amberhoist.service.Peers.opening;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberhoist.metrics.Counters.Count;
+import amberhoist.service.Peers.Peer;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Stories of SIGHUP with an operator's file: all or nothing, and nobody is cut off. */
+class ReloadStoriesTest {
+  private static void until(Peers peers, Count count, long number) {
+    long end = System.nanoTime() + Peers.PATIENCE * 1_000_000L;
+    while (peers.service.count(count) < number) {
+      assertTrue(System.nanoTime() < end, "no " + count);
+    }
+  }
+
+  private static void linesPass(List<Peer[]> pairs, String line) throws Exception {
+    for (Peer[] pair : pairs) {
+      pair[0].send(line + "\r\n");
+    }
+    for (Peer[] pair : pairs) {
+      assertEquals(line, pair[1].line());
+      pair[1].send(line + "\r\n");
+      assertEquals(line, pair[0].line());
+    }
+  }
+
+  @Test
+  void aFileThatIsBadInThreePlacesBringsThreeMessagesAndChangesNothing() throws Exception {
+    PrintStream before = System.err;
+    ByteArrayOutputStream told = new ByteArrayOutputStream();
+    try (Peers peers = new Peers(1, 1024, "")) {
+      List<Peer[]> pairs = List.<Peer[]>of(peers.joined("a", 0));
+      System.setErr(new PrintStream(told, true, StandardCharsets.UTF_8));
+      peers.reloadWith("[line]\npings = 1\nping = 2\n[log]\nlevel = \"loud\"\n[stop]\nhold = 3\n");
+      until(peers, Count.RELOADS_REFUSED, 1);
+      System.setErr(before);
+      String text = told.toString(StandardCharsets.UTF_8);
+      assertEquals(3, text.lines().filter(line -> line.contains("event=config.refused")).count(), text);
+      for (String place : List.of(":3: line.ping", ":5: log.level", ":7: stop.hold")) {
+        assertTrue(text.contains(place), text);
+      }
+      Peer client = peers.client("PING\r\nPING\r\n");
+      assertEquals("PONG", client.line());
+      assertEquals("PONG", client.line(), "the good line beside the bad ones was not taken up either");
+      linesPass(pairs, "M 1");
+    } finally {
+      System.setErr(before);
+    }
+  }
+
+  @Test
+  void aGoodFileIsTakenUpWhileServing() throws Exception {
+    try (Peers peers = new Peers(1, 1024, "")) {
+      peers.reloadWith("[line]\npings = 1\n[sockets]\nbacklog = 7\n");
+      until(peers, Count.RELOADS, 1);
+      Peer client = peers.client("PING\r\nPING\r\n");
+      assertEquals("PONG", client.line());
+      assertEquals("ERR", client.line());
+      assertEquals(List.of("sockets.backlog"), peers.service.status().restartNeeded());
+    }
+  }
+
+  @Test
+  void reloadsInQuickTurnWhileFiveHundredConnectionsStandLoseNone() throws Exception {
+    try (Peers peers = new Peers(1, 4096, "")) {
+      List<Peer[]> pairs = new ArrayList<>();
+      for (int i = 0; i < 500; i++) {
+        pairs.add(peers.joined("k" + i, 0));
+      }
+      peers.reloadWith("[line]\npings = 3\n");
+      peers.reloadWith("[line]\npings = 4\n"); // within milliseconds of the first
+      peers.reloadWith("[line]\npings = 0\n");
+      until(peers, Count.RELOADS, 2);
+      until(peers, Count.RELOADS_REFUSED, 1);
+      linesPass(pairs, "M 1");
+      assertEquals(500, peers.service.status().providers().get(0).standing());
+      assertEquals(1000, peers.service.connections());
+    }
+  }
+
+  @Test
+  void aReloadDuringAStopHarmsNeither() throws Exception {
+    try (Peers peers = new Peers(1, 1024, "")) {
+      List<Peer[]> pairs = new ArrayList<>();
+      for (int i = 0; i < 20; i++) {
+        pairs.add(peers.joined("k" + i, 0));
+      }
+      Thread stop = new Thread(peers.service::stop);
+      stop.start();
+      while (!peers.service.status().state().equals("stopping")) {
+        Thread.onSpinWait();
+      }
+      peers.reloadWith("[line]\npings = 3\n");
+      peers.reloadWith("[nothing]\n");
+      until(peers, Count.RELOADS, 1);
+      until(peers, Count.RELOADS_REFUSED, 1);
+      for (Peer[] pair : pairs) {
+        assertEquals("MOVE", pair[0].line());
+        assertEquals("FIN", pair[0].line());
+      }
+      stop.join();
+    }
+  }
+
+  @Test
+  void aLimitLoweredBelowWhatIsInUseCutsNobodyOffAndMeetsNewWork() throws Exception {
+    try (Peers peers = new Peers(1, 60, "")) {
+      List<Peer[]> pairs = new ArrayList<>();
+      peers.reloadWith("[limits]\ndescriptors = 60\n");
+      peers.reloadWith("limits.descriptors", "400");
+      until(peers, Count.RELOADS, 2);
+      for (int i = 0; i < 40; i++) {
+        pairs.add(peers.joined("k" + i, 0)); // 80 descriptors: more than the first limit
+      }
+      peers.reloadWith("limits.descriptors", "64");
+      until(peers, Count.RELOADS, 3);
+      linesPass(pairs, "M 1");
+      for (Peer[] pair : pairs.subList(0, 12)) {
+        pair[0].socket.close(); // still above the limit, but there is room to answer in
+        assertEquals("FIN", pair[1].line());
+        pair[1].socket.close();
+      }
+      List<Peer[]> left = pairs.subList(12, 40);
+      linesPass(left, "M 2");
+      peers.reloadWith("limits.descriptors", "84"); // room to accept and answer, not to serve
+      until(peers, Count.RELOADS, 4);
+      assertTrue(peers.client(opening("more", 2000, "")).line().startsWith("BUSY "));
+      linesPass(left, "M 3");
+      peers.reloadWith("limits.descriptors", "400");
+      until(peers, Count.RELOADS, 5);
+      peers.client(opening("again", 2000, ""));
+      assertTrue(peers.provider(0).line().contains("again"));
+    }
+  }
+}
