Make the checked TOML schema serve any record, for experiments beside the operator's file

Need: the laboratory's experiments want the same checks, with lists and arrays of tables; the checks were tied to the operator's record.

Change: amberhoist.config.schema holds Schema, TomlSource, Values and Setting for any record; the operator's file uses it.

--- a/proxy/src/main/java/amberhoist/cli/ConfigCommand.java
+++ b/proxy/src/main/java/amberhoist/cli/ConfigCommand.java
@@ -1,10 +1,10 @@
 package amberhoist.cli;
 
-import amberhoist.config.Problem;
 import amberhoist.config.Reference;
 import amberhoist.config.Setup;
 import amberhoist.config.Setup.Reading;
 import amberhoist.config.Setup.Sources;
+import amberhoist.config.schema.Problem;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
--- a/proxy/src/main/java/amberhoist/config/Config.java
+++ b/proxy/src/main/java/amberhoist/config/Config.java
@@ -1,6 +1,7 @@
 package amberhoist.config;
 
 import amberhoist.clock.Clock;
+import amberhoist.config.schema.Problem;
 import amberhoist.core.Limits;
 import amberhoist.decide.Balancer.Settings;
 import amberhoist.directory.Address;
--- a/proxy/src/main/java/amberhoist/config/Operator.java
+++ b/proxy/src/main/java/amberhoist/config/Operator.java
@@ -1,5 +1,7 @@
 package amberhoist.config;
 
+import amberhoist.config.schema.Setting;
+import amberhoist.config.schema.Size;
 import amberhoist.core.Timing;
 import amberhoist.front.line.LineLimits;
 import amberhoist.log.LogSettings;
@@ -169,14 +171,14 @@
     if (Setup.needRestart(other, this).isEmpty()) {
       return this;
     }
-    Map<String, Object> values = Keys.values(this);
-    Map<String, Object> old = Keys.values(other);
-    Keys.all().forEach((path, key) -> {
+    Map<String, Object> values = Keys.SCHEMA.values(this);
+    Map<String, Object> old = Keys.SCHEMA.values(other);
+    Keys.SCHEMA.keys().forEach((path, key) -> {
       if (key.setting().restart()) {
         values.put(path, old.get(path));
       }
     });
-    return Keys.bind(values);
+    return Keys.SCHEMA.bind(values);
   }
 
   /** The log's part, as the log takes it. */
--- a/proxy/src/main/java/amberhoist/config/Reference.java
+++ b/proxy/src/main/java/amberhoist/config/Reference.java
@@ -1,6 +1,8 @@
 package amberhoist.config;
 
-import amberhoist.config.Keys.Key;
+import amberhoist.config.schema.Schema.Key;
+import amberhoist.config.schema.Setting;
+import amberhoist.config.schema.Values;
 import amberhoist.log.Event;
 import java.util.Map;
 
@@ -34,43 +36,16 @@
 
   /** The reference page of keys. */
   public static String page() {
-    StringBuilder out = new StringBuilder(SOURCES);
-    for (Map.Entry<String, Setting> table : Keys.tables().entrySet()) {
-      out.append("\n## `[").append(table.getKey()).append("]`\n\n").append(table.getValue().value());
-      out.append("\n\n| key | type | default | from | to | change | effect |\n")
-          .append("| --- | --- | --- | --- | --- | --- | --- |\n");
-      for (Key key : Keys.all().values()) {
-        if (key.path().startsWith(table.getKey() + '.')) {
-          Setting setting = key.setting();
-          out.append("| `").append(key.path()).append("` | ").append(type(key.type())).append(" | `")
-              .append(Values.toml(key.initial())).append("` | ").append(setting.min()).append(" | ")
-              .append(setting.max()).append(" | ").append(setting.restart() ? "restart" : "SIGHUP")
-              .append(" | ").append(setting.value()).append(" |\n");
-        }
-      }
-    }
-    return out.toString();
-  }
-
-  private static String type(Class<?> type) {
-    if (type.isEnum()) {
-      return "word";
-    }
-    return switch (type.getSimpleName()) {
-      case "int" -> "number";
-      case "Duration" -> "time";
-      case "Size" -> "size";
-      default -> "text";
-    };
+    return SOURCES + Keys.SCHEMA.reference();
   }
 
   /** The example file: every key at its default. */
   public static String example() {
     StringBuilder out = new StringBuilder("# The operator's file: every key, each at its default.\n"
         + "# Made by `bin/amberhoist config reference --toml`; docs/configuration.md says more.\n");
-    for (Map.Entry<String, Setting> table : Keys.tables().entrySet()) {
+    for (Map.Entry<String, Setting> table : Keys.SCHEMA.tables().entrySet()) {
       out.append("\n# ").append(table.getValue().value()).append("\n[").append(table.getKey()).append("]\n");
-      for (Key key : Keys.all().values()) {
+      for (Key key : Keys.SCHEMA.keys().values()) {
         if (key.path().startsWith(table.getKey() + '.')) {
           Setting setting = key.setting();
           out.append("# ").append(setting.value());
@@ -89,8 +64,8 @@
   /** The effective keys of a reading, and where each comes from. */
   public static String show(Setup.Reading reading) {
     StringBuilder out = new StringBuilder();
-    Keys.values(reading.operator()).forEach((path, value) -> out.append(String.format("%-26s = %-24s # %s%n", path,
-        Values.toml(value), reading.origins().getOrDefault(path, "default"))));
+    Keys.SCHEMA.values(reading.operator()).forEach((path, value) -> out.append(String.format(
+        "%-26s = %-24s # %s%n", path, Values.toml(value), reading.origins().getOrDefault(path, "default"))));
     return out.toString();
   }
 
--- a/proxy/src/main/java/amberhoist/config/Setup.java
+++ b/proxy/src/main/java/amberhoist/config/Setup.java
@@ -2,10 +2,11 @@
 
 import amberhoist.clock.Clock;
 import amberhoist.config.Config.BadConfig;
-import amberhoist.config.Keys.Key;
-import amberhoist.config.Layer.Value;
+import amberhoist.config.schema.Problem;
+import amberhoist.config.schema.Schema.Key;
+import amberhoist.config.schema.Values;
+import amberhoist.config.schema.Written;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -117,7 +118,7 @@
   }
 
   private static String text(Layer layer, String otherwise) {
-    Value value = layer.values().get("instance.platform");
+    Written value = layer.values().get("instance.platform");
     return value == null ? otherwise : value.text();
   }
 
@@ -134,55 +135,21 @@
         }
       });
     }
-    Operator operator = Keys.bind(values);
+    Operator operator = Keys.SCHEMA.bind(values);
     operator.contradictions().forEach((path, message) ->
         problems.add(new Problem(origins.getOrDefault(path, "default"), path,
-            message + " (" + Values.write(Keys.values(operator).get(path)) + ")")));
+            message + " (" + Values.write(Keys.SCHEMA.values(operator).get(path)) + ")")));
     return new Reading(operator, origins, problems);
   }
 
-  private static Object check(String path, Value value) {
-    Key key = Keys.all().get(path);
-    if (key == null) {
-      if (Keys.tables().containsKey(path)) {
-        throw new IllegalArgumentException("expected a table of keys");
-      }
-      String near = Keys.nearest(path);
-      throw new IllegalArgumentException("unknown key" + (near == null ? "" : "; the nearest known is " + near));
-    }
-    boolean text = key.type() != int.class;
-    if (!value.plain() || value.quoted() != null && value.quoted() != text) {
-      throw new IllegalArgumentException("expected " + Values.expected(key.type()));
-    }
-    Object read;
-    try {
-      read = Values.parse(key.type(), value.text());
-    } catch (IllegalArgumentException fault) {
-      throw new IllegalArgumentException("expected " + fault.getMessage() + ", not \"" + value.text() + '"', fault);
-    }
-    bounds(key, read);
+  private static Object check(String path, Written written) {
+    Object read = Keys.SCHEMA.check(path, written);
     if (path.equals("admin.listen")) {
       AdminAddress.parse((String) read);
     }
     return read;
   }
 
-  private static void bounds(Key key, Object read) {
-    String min = key.setting().min();
-    String max = key.setting().max();
-    if (!min.isEmpty() && compare(read, Values.parse(key.type(), min)) < 0
-        || !max.isEmpty() && compare(read, Values.parse(key.type(), max)) > 0) {
-      throw new IllegalArgumentException("expected " + min + " to " + max + ", not " + Values.write(read));
-    }
-  }
-
-  private static int compare(Object one, Object other) {
-    if (one instanceof Duration duration) {
-      return duration.compareTo((Duration) other);
-    }
-    return one instanceof Size size ? size.compareTo((Size) other) : Integer.compare((int) one, (int) other);
-  }
-
   /** The effective keys of a setup as text, with where each comes from. */
   public static String show(Setup setup) {
     return Reference.show(new Reading(setup.operator(), setup.origins(), List.of()));
@@ -193,9 +160,9 @@
     if (before.equals(after)) {
       return List.of();
     }
-    Map<String, Object> old = Keys.values(before);
-    Map<String, Object> fresh = Keys.values(after);
-    return Keys.all().values().stream()
+    Map<String, Object> old = Keys.SCHEMA.values(before);
+    Map<String, Object> fresh = Keys.SCHEMA.values(after);
+    return Keys.SCHEMA.keys().values().stream()
         .filter(key -> key.setting().restart() && !old.get(key.path()).equals(fresh.get(key.path())))
         .map(Key::path).toList();
   }
--- a/proxy/src/main/java/amberhoist/config/Problem.java
+++ b/proxy/src/main/java/amberhoist/config/schema/Problem.java
@@ -1,4 +1,4 @@
-package amberhoist.config;
+package amberhoist.config.schema;
 
 /**
  * Something that is wrong with a configuration.
--- a/proxy/src/main/java/amberhoist/config/Setting.java
+++ b/proxy/src/main/java/amberhoist/config/schema/Setting.java
@@ -1,4 +1,4 @@
-package amberhoist.config;
+package amberhoist.config.schema;
 
 import java.lang.annotation.ElementType;
 import java.lang.annotation.Retention;
@@ -8,7 +8,7 @@
 /** What the reference page and the checks know of a key or a table of the operator's file, beside its type. */
 @Retention(RetentionPolicy.RUNTIME)
 @Target({ElementType.RECORD_COMPONENT, ElementType.TYPE})
-@interface Setting {
+public @interface Setting {
   /** What it is for, and its effect. */
   String value();
 
--- a/proxy/src/main/java/amberhoist/config/Size.java
+++ b/proxy/src/main/java/amberhoist/config/schema/Size.java
@@ -1,4 +1,4 @@
-package amberhoist.config;
+package amberhoist.config.schema;
 
 /** An amount of memory. */
 public record Size(long bytes) implements Comparable<Size> {
--- a/proxy/src/main/java/amberhoist/config/Values.java
+++ b/proxy/src/main/java/amberhoist/config/schema/Values.java
@@ -1,20 +1,21 @@
-package amberhoist.config;
+package amberhoist.config.schema;
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /** Values as the operator's file writes them, with the unit in the value. */
-final class Values {
+public final class Values {
   private static final Pattern AMOUNT = Pattern.compile("(\\d{1,15})(us|ms|s|m|h|B|KiB|MiB|GiB)");
 
   private Values() {}
 
   /** Reads a value of this type, or throws with what was expected. */
-  static Object parse(Class<?> type, String text) {
+  public static Object parse(Class<?> type, String text) {
     if (type == String.class) {
       return text;
     }
@@ -25,6 +26,23 @@
         throw new IllegalArgumentException(expected(type), fault);
       }
     }
+    if (type == double.class) {
+      try {
+        double value = Double.parseDouble(text);
+        if (!Double.isNaN(value) && !Double.isInfinite(value)) {
+          return value;
+        }
+      } catch (NumberFormatException fault) {
+        // told below
+      }
+      throw new IllegalArgumentException(expected(type));
+    }
+    if (type == boolean.class) {
+      if (text.equals("true") || text.equals("false")) {
+        return Boolean.valueOf(text);
+      }
+      throw new IllegalArgumentException(expected(type));
+    }
     if (type == Duration.class) {
       return duration(text);
     }
@@ -71,9 +89,13 @@
   }
 
   /** What a value of this type looks like. */
-  static String expected(Class<?> type) {
+  public static String expected(Class<?> type) {
     if (type == int.class) {
       return "a whole number";
+    } else if (type == double.class) {
+      return "a number";
+    } else if (type == boolean.class) {
+      return "true or false";
     } else if (type == Duration.class) {
       return "a time with its unit, such as \"250ms\" (us, ms, s, m, h)";
     } else if (type == Size.class) {
@@ -86,7 +108,7 @@
   }
 
   /** Writes a value as it is read. */
-  static String write(Object value) {
+  public static String write(Object value) {
     if (value instanceof Duration duration) {
       long micros = duration.toNanos() / 1000;
       if (micros % 1000 != 0) {
@@ -94,11 +116,23 @@
       }
       return micros % 1_000_000 == 0 && micros > 0 ? micros / 1_000_000 + "s" : micros / 1000 + "ms";
     }
+    if (value instanceof Double number && number == Math.rint(number) && Math.abs(number) < 1e15) {
+      return Long.toString(number.longValue());
+    }
     return value instanceof Enum<?> constant ? constant.name().toLowerCase(Locale.ROOT) : String.valueOf(value);
   }
 
+  /** Whether values of this type are written in quotes. */
+  public static boolean quoted(Class<?> type) {
+    return type != int.class && type != double.class && type != boolean.class;
+  }
+
   /** The same with the quotes that TOML wants. */
-  static String toml(Object value) {
-    return value instanceof Integer ? write(value) : '"' + write(value) + '"';
+  public static String toml(Object value) {
+    if (value instanceof List<?> list) {
+      return list.stream().map(Values::toml).collect(Collectors.joining(", ", "[", "]"));
+    }
+    boolean bare = value instanceof Number || value instanceof Boolean;
+    return bare ? write(value) : '"' + write(value) + '"';
   }
 }
--- a/proxy/src/test/java/amberhoist/config/SetupTest.java
+++ b/proxy/src/test/java/amberhoist/config/SetupTest.java
@@ -153,6 +153,6 @@
     Reading reading = Setup.read(new Sources(example, Map.of(), Map.of()), false);
     assertEquals(List.of(), reading.problems());
     assertEquals(Operator.DEFAULT, reading.operator(), "each at its default");
-    assertEquals(Set.copyOf(Keys.all().keySet()), Set.copyOf(reading.origins().keySet()), "and every key");
+    assertEquals(Set.copyOf(Keys.SCHEMA.keys().keySet()), Set.copyOf(reading.origins().keySet()), "and every key");
   }
 }
