Begin the laboratory: experiments in TOML and an emulator with the real core and module

Need: the project had no rig of its own to measure later subsystems on.

Change: lab/experiments/*.toml describe fleet, clients, network, store, directory, faults on a time line, variants and claims, checked like the operator's file. The emulator runs the real core and module of every proxy in virtual time between emulated providers, clients and network; a checker that knows only the protocol sees all of it; the event log's hash is printed. lab run judges claims and keeps CSV and a report.

--- a/lab/src/main/java/amberhoist/lab/LabCommand.java
+++ b/lab/src/main/java/amberhoist/lab/LabCommand.java
@@ -15,14 +15,15 @@
 import picocli.CommandLine.Spec;
 
 /** The laboratory's commands. */
-@Command(name = "lab", description = "Stand-ins and tools to try and measure a proxy with.")
+@Command(name = "lab", description = "Stand-ins and tools to try and measure a proxy with.",
+    subcommands = RunCommand.class)
 final class LabCommand implements Runnable {
   @Spec
   private CommandSpec spec;
 
   @Override
   public void run() {
-    throw new ParameterException(spec.commandLine(), "say which: try, stand-in, client or flood");
+    throw new ParameterException(spec.commandLine(), "say which: run, try, stand-in, client or flood");
   }
 
   /** A newcomer's first look. */
--- /dev/null
+++ b/lab/src/main/java/amberhoist/lab/RunCommand.java
@@ -0,0 +1,95 @@
+package amberhoist.lab;
+
+import amberhoist.config.schema.Problem;
+import amberhoist.lab.emulator.Checker.Violation;
+import amberhoist.lab.experiment.Experiment;
+import amberhoist.lab.experiment.ExperimentFile;
+import amberhoist.lab.run.Results;
+import amberhoist.lab.run.Runs;
+import amberhoist.lab.run.Runs.Run;
+import amberhoist.lab.run.Runs.Verdict;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Runs experiments and judges their claims. */
+@Command(name = "run", description = {
+    "Runs experiments in virtual time, each variant on the same seeds, prints figures and the hash of each event log,",
+    "and judges the claims. Ends with 1 when one falls or a rule is broken where no claim allows it."})
+final class RunCommand implements Callable<Integer> {
+  @Spec
+  private CommandSpec spec;
+
+  @Parameters(paramLabel = "FILE", arity = "1..*", description = "experiments")
+  private List<Path> files;
+
+  @Option(names = "--seeds", paramLabel = "N", defaultValue = "0",
+      description = "so many seeds; by default those that the experiment names")
+  private int seeds;
+
+  @Option(names = "--quick", description = "shortens what an experiment says may be shortened")
+  private boolean quick;
+
+  @Option(names = "--threads", paramLabel = "N", defaultValue = "0",
+      description = "runs at a time; by default one a core")
+  private int threads;
+
+  @Option(names = "--out", paramLabel = "DIR", description = "keeps results.csv and report.md there, a folder each")
+  private Path out;
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    if (seeds < 0 || seeds > 100_000 || threads < 0 || threads > 1024) {
+      throw new ParameterException(spec.commandLine(), "expected --seeds up to 100000 and --threads up to 1024");
+    }
+    List<Problem> problems = new ArrayList<>();
+    List<Experiment> experiments = new ArrayList<>();
+    for (Path file : files) {
+      experiments.add(ExperimentFile.read(file, problems));
+    }
+    if (!problems.isEmpty()) {
+      problems.forEach(System.err::println); // nothing runs on a bad file
+      return 1;
+    }
+    int status = 0;
+    for (Experiment experiment : experiments) {
+      status = Math.max(status, run(experiment));
+    }
+    return status;
+  }
+
+  private int run(Experiment experiment) throws IOException, InterruptedException {
+    int cores = threads > 0 ? threads : Runtime.getRuntime().availableProcessors();
+    Runs runs = Runs.run(experiment, seeds, quick, cores);
+    System.out.println("== " + experiment.name() + (experiment.title().isEmpty() ? "" : ": " + experiment.title()));
+    runs.byVariant().forEach((variant, all) -> {
+      for (Run run : all) {
+        System.out.printf("%s seed %d: service %.4f, violations %.0f, %d events (%.0f a second), hash %s%n", variant,
+            run.seed(), run.outcome().figures().get("service"), run.outcome().figures().get("violations"),
+            run.outcome().events(), run.outcome().events() * 1e9 / run.outcome().nanos(), run.outcome().hash());
+        for (Violation violation : run.outcome().violations().subList(0,
+            Math.min(3, run.outcome().violations().size()))) {
+          System.out.println("  " + violation);
+        }
+      }
+    });
+    int status = 0;
+    for (Verdict verdict : runs.verdicts()) {
+      System.out.println(verdict);
+      status = verdict.holds() ? status : 1;
+    }
+    if (out != null) {
+      Path folder = new Results(runs).write(out);
+      System.out.println("kept in " + folder);
+    }
+    return status;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/amberhoist/lab/emulator/Attempt.java
@@ -0,0 +1,25 @@
+package amberhoist.lab.emulator;
+
+/** One connection of a proxy to a provider: an invoker call, and what becomes of it. */
+final class Attempt {
+  final EmulatedProxy proxy;
+  final int life;
+  final Visit visit;
+  final EmulatedProvider provider;
+  final long invocation;
+  long number;
+  boolean sent;
+  boolean concluded; // the proxy has heard its end, or has given it up
+  boolean waiting; // at the provider, for its set-up
+  boolean up; // at the provider
+  boolean left; // the proxy has closed it
+  double load; // of its client now, micros of work a second
+
+  Attempt(EmulatedProxy proxy, Visit visit, EmulatedProvider provider, long invocation) {
+    this.proxy = proxy;
+    this.life = proxy.life();
+    this.visit = visit;
+    this.provider = provider;
+    this.invocation = invocation;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/amberhoist/lab/emulator/Checker.java
@@ -0,0 +1,134 @@
+package amberhoist.lab.emulator;
+
+import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer.State;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Sees all that passes between clients, proxies and providers, and knows only the protocol's rules: one final answer
+ * and in time; never two invoker calls out; nothing new to a draining provider 500 ms after the news; no cold provider sent
+ * over its budget.
+ */
+public final class Checker {
+  static final int UP = 1;
+  static final int REJECTED = 2;
+  static final int FAILED = 3;
+  private static final int SENT = 4;
+  private static final int MOST_KEPT = 20;
+  private static final long SLACK = 50_000; // by which a time limit on sockets may be passed
+  private static final long DRAIN_GRACE = 500_000;
+
+  /** A rule that was broken. */
+  public record Violation(long atMicros, String rule, String who) {
+    @Override
+    public String toString() {
+      return String.format("%.3f s: %s: %s", atMicros / 1e6, rule, who);
+    }
+  }
+
+  private final World world;
+  private final Map<String, Long> drainTold = new HashMap<>();
+  private final Map<String, ArrayDeque<Long>> coldArrivals = new HashMap<>();
+  private final List<Violation> kept = new ArrayList<>();
+  private long count;
+
+  Checker(World world) {
+    this.world = world;
+  }
+
+  /** How many rules were broken. */
+  public long count() {
+    return count;
+  }
+
+  /** The first of them. */
+  public List<Violation> violations() {
+    return kept;
+  }
+
+  private void broken(String rule, String who) {
+    count++;
+    if (kept.size() < MOST_KEPT) {
+      kept.add(new Violation(world.time.now() - World.START, rule, who));
+    }
+  }
+
+  private static String who(Visit visit) {
+    return "client " + visit.client.arrival().key() + " at proxy " + visit.proxy.index;
+  }
+
+  /** A proxy is told of a provider. */
+  void told(EmulatedProxy proxy, Server server) {
+    String pair = proxy.index + "/" + server.name();
+    if (server.state() == State.READY) {
+      drainTold.remove(pair);
+    } else {
+      drainTold.putIfAbsent(pair, world.time.now());
+    }
+  }
+
+  /** A proxy sends a first line on. */
+  void sends(Attempt attempt) {
+    world.trace.add(SENT, world.time.now(), attempt.proxy.index, attempt.provider.name.hashCode());
+    if (attempt.visit.out > 0) {
+      broken("two invoker calls out", who(attempt.visit));
+    }
+    Long told = drainTold.get(attempt.proxy.index + "/" + attempt.provider.name);
+    if (told != null && world.time.now() - told > DRAIN_GRACE + SLACK) {
+      broken("sent to a draining provider", attempt.provider.name + " by proxy " + attempt.proxy.index);
+    }
+  }
+
+  /** A proxy gives a final answer. */
+  void answers(Visit visit, int kind) {
+    long now = world.time.now();
+    world.trace.add(kind, now, visit.proxy.index, visit.number);
+    visit.answers++;
+    if (visit.answers > 1) {
+      broken("a second final answer", who(visit));
+    }
+    if (now > visit.deadline + SLACK) {
+      broken("an answer too late", who(visit));
+    }
+  }
+
+  /** A client has given up; a proxy that lives owed it an answer by now. */
+  void unanswered(Visit visit) {
+    world.time.after(SLACK, () -> {
+      if (visit.answers == 0 && visit.invocation != 0 && visit.proxy.alive() && visit.proxy.life() == visit.life) {
+        broken("no final answer", who(visit));
+      }
+    });
+  }
+
+  void started(EmulatedProvider provider) {
+    coldArrivals.remove(provider.name);
+  }
+
+  /** A first line has come to a provider: a cold one must not get more than its budget. */
+  void arrived(Attempt attempt) {
+    EmulatedProvider provider = attempt.provider;
+    if (!provider.cold()) {
+      return;
+    }
+    ArrayDeque<Long> times = coldArrivals.computeIfAbsent(provider.name, any -> new ArrayDeque<>());
+    long now = world.time.now();
+    long window = world.experiment.fleet().coldWindow().toNanos() / 1000;
+    times.add(now);
+    while (times.peek() <= now - window) {
+      times.poll();
+    }
+    double budget = Math.max(1, world.experiment.fleet().coldMultiple() * world.newConnectionsPerSecond(provider)
+        * provider.warmth() * window / 1e6);
+    world.figures.coldPeak = Math.max(world.figures.coldPeak, times.size() / budget);
+    if (times.size() > Math.ceil(budget)) {
+      broken("a cold provider over its budget", provider.name + ": " + times.size() + " over "
+          + Math.round(budget * 10) / 10.0);
+      times.clear(); // it has fallen over; count anew
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -0,0 +1,315 @@
+package amberhoist.lab.emulator;
+
+import amberhoist.core.Commands;
+import amberhoist.core.Core;
+import amberhoist.core.Limits;
+import amberhoist.core.SlotTable;
+import amberhoist.core.Telemetry;
+import amberhoist.core.Wheel;
+import amberhoist.decide.Balancer.ListKind;
+import amberhoist.decide.Balancer.Outcome;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.metrics.Counters;
+import java.util.List;
+import java.util.Set;
+
+/** A proxy: the real core and the real module, with the emulated network in place of sockets. */
+final class EmulatedProxy implements Commands {
+  private static final long TICK = 4_000; // as the real loop's
+  private static final long DIAL = 250_000;
+
+  final int index;
+  final String zone;
+  private final World world;
+  private final SlotTable<Visit> visits = new SlotTable<>();
+  private final SlotTable<Attempt> attempts = new SlotTable<>();
+  private Counters counters = new Counters();
+  private Core core;
+  private Wheel wheel;
+  private int life;
+  private boolean alive;
+  private boolean stopping;
+
+  EmulatedProxy(World world, int index, String zone) {
+    this.world = world;
+    this.index = index;
+    this.zone = zone;
+  }
+
+  int life() {
+    return life;
+  }
+
+  boolean alive() {
+    return alive;
+  }
+
+  boolean stopping() {
+    return stopping;
+  }
+
+  void freshCounters() {
+    counters = new Counters();
+  }
+
+  Counters counters() {
+    return counters;
+  }
+
+  /** Begins a life with this list. */
+  void start(List<Server> known) {
+    alive = true;
+    stopping = false;
+    life++;
+    long now = world.time.now();
+    wheel = new Wheel(TICK, now);
+    Limits limits = new Limits(DIAL, world.longestDeadline(), Set.of(), Set.of());
+    core = new Core(world.module(), wheel, this, counters, limits, world.timing(), Telemetry.NONE);
+    core.start(now, world.settings(index, zone), world.seedOf(index, life), known);
+    tick(life);
+  }
+
+  private void tick(int ofLife) {
+    world.time.after(TICK, () -> {
+      if (alive && life == ofLife) {
+        wheel.advance(world.time.now());
+        tick(ofLife);
+      }
+    });
+  }
+
+  /** Tells it to end, as SIGTERM does; {@code gone} runs when it has. */
+  void stop(Runnable gone) {
+    stopping = true;
+    int ofLife = life;
+    core.stop(world.time.now(), () -> {
+      if (life == ofLife && alive) {
+        alive = false;
+        cutAll();
+        gone.run();
+      }
+    });
+  }
+
+  /** Whatever it still holds is reset. */
+  private void cutAll() {
+    visits.forEach(number -> {
+      Visit visit = visits.remove(number);
+      visit.closed = true;
+      world.time.after(world.clientDelay(), () -> visit.client.cut(visit));
+    });
+    attempts.forEach(number -> leave(attempts.remove(number)));
+  }
+
+  /** A client's first line has come. */
+  void arrive(Visit visit) {
+    if (!alive || visit.life != life) {
+      world.time.after(world.clientDelay(), () -> visit.client.refused(visit));
+      return;
+    }
+    visit.number = visits.add(visit);
+    visit.invocation = core.invocation(world.time.now(), visit.number, visit.client.arrival());
+  }
+
+  /** The client has ended its connection. */
+  void clientLeft(Visit visit) {
+    if (visit.life == life && alive && visits.remove(visit.number) != null) {
+      visit.closed = true;
+      if (visit.joined != null) {
+        close(visit.joined);
+      }
+      core.clientLeft(world.time.now(), visit.invocation);
+    }
+  }
+
+  void told(ListKind kind, List<Server> servers) {
+    if (alive) {
+      servers.forEach(server -> world.checker.told(this, server));
+      core.directory(world.time.now(), kind, servers);
+    }
+  }
+
+  /** A message of the client passes. */
+  void asked(Attempt attempt) {
+    core.asked(world.time.now(), attempt.invocation, attempt.number);
+  }
+
+  /** A message of the provider passes. */
+  void returned(Attempt attempt) {
+    if (holds(attempt)) {
+      core.returned(world.time.now(), attempt.invocation, attempt.number);
+    }
+  }
+
+  /** A LOAD line comes, with the load or with a delay in milliseconds. */
+  void load(Attempt attempt, double figure) {
+    if (holds(attempt)) {
+      core.load(world.time.now(), attempt.invocation, attempt.number, figure);
+    }
+  }
+
+  /** Whether this attempt is of this life and not closed here. */
+  boolean holds(Attempt attempt) {
+    return alive && attempt.life == life && attempts.get(attempt.number) == attempt;
+  }
+
+  /** The provider's answer to an invoker call, or the connection's early end. */
+  void answered(Attempt attempt, Outcome outcome) {
+    if (holds(attempt)) {
+      conclude(attempt);
+      core.callEnded(world.time.now(), attempt.invocation, attempt.number, outcome);
+    }
+  }
+
+  void up(Attempt attempt) {
+    if (holds(attempt)) {
+      conclude(attempt);
+      core.up(world.time.now(), attempt.invocation, attempt.number);
+    }
+  }
+
+  /** The provider has ended a joined connection. */
+  void ended(Attempt attempt, Outcome outcome) {
+    if (!holds(attempt)) {
+      return;
+    }
+    attempts.remove(attempt.number);
+    Visit visit = attempt.visit;
+    if (visits.remove(visit.number) != null) {
+      visit.closed = true;
+      world.time.after(world.clientDelay(),
+          () -> visit.client.ended(visit, outcome == Outcome.CANCELLED));
+    }
+    core.ended(world.time.now(), attempt.invocation, attempt.number, outcome);
+  }
+
+  private void conclude(Attempt attempt) {
+    if (attempt.sent && !attempt.concluded) {
+      attempt.concluded = true;
+      attempt.visit.out--;
+    }
+  }
+
+  @Override
+  public long dial(long invocation, long client, String provider) {
+    Visit visit = visits.get(client);
+    EmulatedProvider target = world.provider(provider);
+    if (visit == null || target == null) {
+      return SlotTable.NONE;
+    }
+    Attempt attempt = new Attempt(this, visit, target, invocation);
+    attempt.number = attempts.add(attempt);
+    long way = world.delay(zone, target.zone);
+    if (!target.process()) {
+      if (target.reachable(this)) {
+        world.time.after(2 * way, () -> answered(attempt, Outcome.RESET)); // refused
+      }
+    } else if (target.reachable(this)) {
+      world.time.after(2 * way * world.experiment.network().handshakes(), () -> {
+        if (holds(attempt)) {
+          core.connected(world.time.now(), attempt.invocation, attempt.number);
+        }
+      });
+    }
+    return attempt.number;
+  }
+
+  @Override
+  public void forward(long provider, long millis) {
+    Attempt attempt = attempts.get(provider);
+    if (attempt == null) {
+      return;
+    }
+    world.checker.sends(attempt);
+    attempt.sent = true;
+    attempt.visit.out++;
+    attempt.visit.calls++;
+    long now = world.time.now();
+    world.time.at(now, () -> {
+      if (holds(attempt)) {
+        core.written(world.time.now(), attempt.invocation, attempt.number);
+      }
+    });
+    world.time.after(world.delay(zone, attempt.provider.zone), () -> attempt.provider.arrive(attempt));
+  }
+
+  @Override
+  public void abandon(long provider) {
+    Attempt attempt = attempts.remove(provider);
+    if (attempt != null) {
+      conclude(attempt);
+      leave(attempt);
+    }
+  }
+
+  private void close(Attempt attempt) {
+    if (attempts.remove(attempt.number) != null) {
+      leave(attempt);
+    }
+  }
+
+  private void leave(Attempt attempt) {
+    world.time.after(world.delay(zone, attempt.provider.zone), () -> attempt.provider.left(attempt));
+  }
+
+  @Override
+  public void join(long client, long provider) {
+    Visit visit = visits.get(client);
+    Attempt attempt = attempts.get(provider);
+    if (visit == null || attempt == null) {
+      return;
+    }
+    visit.joined = attempt;
+    world.checker.answers(visit, Checker.UP);
+    world.time.after(world.clientDelay(), () -> visit.client.served(visit));
+  }
+
+  private Visit answer(long client, int kind) {
+    Visit visit = visits.remove(client);
+    if (visit != null) {
+      visit.closed = true;
+      world.checker.answers(visit, kind);
+    }
+    return visit;
+  }
+
+  @Override
+  public void reject(long client, long retryAfter) {
+    Visit visit = answer(client, Checker.REJECTED);
+    if (visit != null) {
+      long advice = Math.min(retryAfter, World.MOST_ADVICE);
+      world.time.after(world.clientDelay(), () -> visit.client.rejected(visit, advice));
+    }
+  }
+
+  @Override
+  public void fail(long client) {
+    Visit visit = answer(client, Checker.FAILED);
+    if (visit != null) {
+      world.time.after(world.clientDelay(), () -> visit.client.rejected(visit, 0));
+    }
+  }
+
+  @Override
+  public void move(long client) {
+    Visit visit = visits.remove(client);
+    if (visit != null) {
+      visit.closed = true;
+      world.figures.moves++;
+      if (visit.joined != null) {
+        close(visit.joined);
+      }
+      world.time.after(world.clientDelay(), () -> visit.client.ended(visit, true));
+    }
+  }
+
+  @Override
+  public void watch() {
+    // it is always watched here; a directory that fails is a fault of the time line
+  }
+
+  @Override
+  public void log(String message) {
+    // nobody reads it
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
@@ -0,0 +1,101 @@
+package amberhoist.lab.emulator;
+
+import amberhoist.decide.Balancer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** Any ready provider, again on failure while attempts are left: a floor to measure the module from. */
+final class RandomBalancer implements Balancer {
+  private static final long LEAST = 1000; // micros that a call needs at least
+
+  private final Map<String, Server> ready = new TreeMap<>();
+  private final Map<Long, Request> owed = new HashMap<>();
+  private SplittableRandom random = new SplittableRandom(0);
+  private Settings settings;
+  private Actions actions;
+
+  @Override
+  public void start(long now, Settings theSettings, long seed, Actions theActions) {
+    settings = theSettings;
+    actions = theActions;
+    random = new SplittableRandom(seed);
+  }
+
+  @Override
+  public void configure(long now, Settings others) {
+    settings = others;
+  }
+
+  @Override
+  public void members(long now, ListKind kind, List<Server> servers) {
+    if (kind == ListKind.FULL || kind == ListKind.STALE) {
+      ready.clear();
+    }
+    for (Server server : servers) {
+      if (server.state() == State.READY) {
+        ready.put(server.name(), server);
+      } else {
+        ready.remove(server.name());
+      }
+    }
+  }
+
+  @Override
+  public void handover(long now, Request request, String server) {
+    // it stands, and nothing is owed for it
+  }
+
+  @Override
+  public void request(long now, Request request) {
+    owed.put(request.id(), request);
+    call(now, request, 0);
+  }
+
+  private void call(long now, Request request, int attempts) {
+    long left = request.deadline() - now;
+    if (ready.isEmpty() || attempts >= settings.maxAttempts() || left < LEAST) {
+      owed.remove(request.id());
+      actions.refuse(request.id(), settings.maxRetryAfter());
+      return;
+    }
+    List<String> names = new ArrayList<>(ready.keySet());
+    actions.send(request.id(), names.get(random.nextInt(names.size())), left - LEAST / 2);
+  }
+
+  @Override
+  public void opened(long now, long request, int attempt, long latency) {
+    owed.remove(request);
+  }
+
+  @Override
+  public void ended(long now, long request, int attempt, Outcome outcome, long latency, boolean closed) {
+    Request it = owed.get(request);
+    if (!closed && it != null) {
+      call(now, it, attempt + 1);
+    }
+  }
+
+  @Override
+  public void load(long now, long request, int attempt, double load) {
+    // it places without regard to loads
+  }
+
+  @Override
+  public void delay(long now, long request, int attempt, double micros) {
+    // nor to delays
+  }
+
+  @Override
+  public void departed(long now, long request) {
+    owed.remove(request);
+  }
+
+  @Override
+  public void timer(long now, long token) {
+    // it asks for none
+  }
+}
--- /dev/null
+++ b/lab/src/test/java/amberhoist/lab/WorldTest.java
@@ -0,0 +1,69 @@
+package amberhoist.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberhoist.config.schema.Problem;
+import amberhoist.lab.emulator.World;
+import amberhoist.lab.emulator.World.Outcome;
+import amberhoist.lab.experiment.Experiment;
+import amberhoist.lab.experiment.ExperimentFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class WorldTest {
+  @TempDir
+  private Path folder;
+
+  private static Experiment calm() {
+    List<Problem> problems = new ArrayList<>();
+    Experiment experiment = ExperimentFile.read(Path.of("experiments/smoke-calm.toml"), problems);
+    assertEquals(List.of(), problems);
+    return experiment;
+  }
+
+  @Test
+  void oneSeedBringsOneRunAndAnotherSeedAnother() {
+    Experiment experiment = calm();
+    Outcome one = new World(experiment, experiment.variants().get(0), 1, true).run();
+    Outcome again = new World(experiment, experiment.variants().get(0), 1, true).run();
+    Outcome other = new World(experiment, experiment.variants().get(0), 2, true).run();
+    assertEquals(one.hash(), again.hash());
+    assertEquals(one.figures(), again.figures());
+    assertEquals(one.events(), again.events());
+    assertNotEquals(one.hash(), other.hash());
+    assertTrue(one.events() > 10_000, "something happens");
+  }
+
+  @Test
+  void aBadExperimentIsToldAtOnceWithItsLines() throws Exception {
+    Path file = Files.writeString(folder.resolve("bad.toml"), """
+        length = "10s"
+        warmup = "20s"
+        [[classes]]
+        worht = 1
+        [[faults]]
+        at = "1s"
+        [[faults]]
+        kind = "hanging"
+        [[variants]]
+        set = ["silence.alone=9h", "nonsense"]
+        [[claims]]
+        over = "nobody"
+        """);
+    List<Problem> problems = new ArrayList<>();
+    ExperimentFile.read(file, problems);
+    List<String> told = problems.stream().map(problem -> problem.toString().replace(folder + "/", "")).toList();
+    assertEquals(5, told.size(), told.toString());
+    assertEquals("bad.toml:4: classes.0.worht: unknown key; the nearest known is classes.*.worth", told.get(0));
+    assertTrue(told.get(1).startsWith("bad.toml:8: faults.1.kind: expected one of \"hang\""), told.get(1));
+    assertEquals("bad.toml:2: warmup: is not shorter than length", told.get(2));
+    assertTrue(told.get(3).startsWith("bad.toml:10: variants.0.set: "), told.get(3));
+    assertTrue(told.get(4).contains("names no variant: nobody"), told.get(4));
+  }
+}
