Tell whoever asks a proxy that ends meanwhile, instead of letting it wait for ever

Change: Service keeps the questions that are out and ends them when the loop is closed; a question that fails ends too.

Measured: a story holds the loop, asks, kills the proxy, and gets its answer; it hung without the change.

--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -31,7 +31,9 @@
 import java.net.SocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
@@ -56,6 +58,7 @@
   private final Acceptor acceptor;
   private final Core core;
   private final DirectoryWatch directory;
+  private final Set<CompletableFuture<?>> asks = ConcurrentHashMap.newKeySet();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile Setup setup;
   private volatile AdminSocket admin;
@@ -250,6 +253,7 @@
       admin.close();
     }
     loop.close();
+    asks.forEach(ask -> ask.completeExceptionally(new IllegalStateException("the proxy has stopped")));
   }
 
   /** How many connections are held. */
@@ -273,9 +277,25 @@
     return loop;
   }
 
-  /** Asks on the loop's thread, which owns all state. */
+  /**
+   * Asks on the loop's thread, which owns all state. Guards against waiting for ever when the loop is closed before
+   * it comes to the question.
+   */
   private <T> T asked(Supplier<T> question) {
-    return CompletableFuture.supplyAsync(question, loop::post).join();
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    asks.add(answer);
+    try {
+      loop.post(() -> {
+        try {
+          answer.complete(question.get());
+        } catch (RuntimeException fault) {
+          answer.completeExceptionally(fault);
+        }
+      });
+      return answer.join();
+    } finally {
+      asks.remove(answer);
+    }
   }
 
   /** Answers the admin socket. */
--- a/proxy/src/test/java/amberhoist/service/ReloadStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/ReloadStoriesTest.java
@@ -2,6 +2,7 @@
 
 import static amberhoist.service.Peers.opening;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import amberhoist.metrics.Counters.Count;
@@ -11,7 +12,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Stories of SIGHUP with an operator's file: all or nothing, and nobody is cut off. */
 class ReloadStoriesTest {
@@ -141,4 +145,31 @@
       assertTrue(peers.provider(0).line().contains("again"));
     }
   }
+
+  @Test
+  @Timeout(60)
+  void whoAsksAProxyThatEndsMeanwhileIsToldAndDoesNotWait() throws Exception {
+    try (Peers peers = new Peers(1, 1024, "")) {
+      CountDownLatch held = new CountDownLatch(1);
+      CountDownLatch go = new CountDownLatch(1);
+      peers.service.loop().post(() -> {
+        held.countDown();
+        try {
+          go.await();
+        } catch (InterruptedException ended) {
+          Thread.currentThread().interrupt();
+        }
+      });
+      held.await();
+      int waiting = peers.service.loop().waiting();
+      CompletableFuture<Throwable> asked = CompletableFuture.supplyAsync(() ->
+          assertThrows(RuntimeException.class, peers.service::status));
+      while (peers.service.loop().waiting() <= waiting) {
+        Thread.onSpinWait();
+      }
+      peers.service.kill();
+      go.countDown();
+      assertTrue(asked.get().toString().contains("stopped"), asked.get().toString());
+    }
+  }
 }
