--- a/proxy/src/main/java/amberhoist/decide/Ledger.java
+++ b/proxy/src/main/java/amberhoist/decide/Ledger.java
@@ -15,6 +15,7 @@
     boolean ready;
     boolean drained;
     double weight;
+    double rank; // for the group whose order is being drawn up
     long goneAt;
     long heardAt;
     int open;
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -424,7 +424,8 @@
   private List<Node> order(Job job) {
     if (job.group.order == null) {
       job.group.order = new ArrayList<>(rotation);
-      job.group.order.sort(Comparator.comparingDouble(node -> rank(job.request.group(), node)));
+      rotation.forEach(node -> node.rank = rank(job.request.group(), node)); // once each, not at each comparison
+      job.group.order.sort(Comparator.comparingDouble(node -> node.rank));
     }
     return job.group.order;
   }
--- a/proxy/src/test/java/amberhoist/service/ReloadStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/ReloadStoriesTest.java
@@ -70,6 +70,9 @@
       assertEquals("PONG", client.line());
       assertEquals("ERR", client.line());
       assertEquals(List.of("sockets.backlog"), peers.service.status().restartNeeded());
+      peers.reloadWith("[line]\npings = 1\n[sockets]\nbacklog = 7\n");
+      until(peers, Count.RELOADS, 2);
+      assertEquals(List.of("sockets.backlog"), peers.service.status().restartNeeded(), "it still has the old one");
     }
   }
 
