--- a/lab/src/main/java/amberhoist/lab/LabCommand.java
+++ b/lab/src/main/java/amberhoist/lab/LabCommand.java
@@ -2,6 +2,7 @@
 
 import amberhoist.directory.Address;
 import amberhoist.lab.TryOut.Round;
+import amberhoist.lab.experiment.ExperimentFile;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -23,7 +24,7 @@
 
   @Override
   public void run() {
-    throw new ParameterException(spec.commandLine(), "say which: run, try, stand-in, client or flood");
+    throw new ParameterException(spec.commandLine(), "say which: run, reference, try, stand-in, client or flood");
   }
 
   /** A newcomer's first look. */
@@ -61,6 +62,13 @@
     return 0;
   }
 
+  /** The reference page. */
+  @Command(name = "reference", description = "Prints the reference page of experiments, made from the code.")
+  int reference() {
+    System.out.print(ExperimentFile.page());
+    return 0;
+  }
+
   /** A client by hand. */
   @Command(name = "client", description = {
       "Opens a connection through a proxy that was started by hand, sends lines and prints the answers.",
--- a/lab/src/main/java/amberhoist/lab/emulator/Checker.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Checker.java
@@ -10,8 +10,8 @@
 
 /**
  * Sees all that passes between clients, proxies and providers, and knows only the protocol's rules: one final answer
- * and in time; never two invoker calls out; nothing new to a draining provider 500 ms after the news; no cold provider sent
- * over its budget.
+ * and in time; never two invoker calls out; nothing new to a draining provider 500 ms after the news; no cold provider
+ * sent over its budget.
  */
 public final class Checker {
   static final int UP = 1;
--- a/lab/src/main/java/amberhoist/lab/experiment/ExperimentFile.java
+++ b/lab/src/main/java/amberhoist/lab/experiment/ExperimentFile.java
@@ -90,6 +90,21 @@
     return found;
   }
 
+  /** The reference page of experiments. */
+  public static String page() {
+    return """
+        # Experiments
+
+        Made by `bin/amberhoist lab reference`; a test fails when it is stale.
+
+        An experiment is a TOML file, such as those under `lab/experiments/`; `bin/amberhoist lab run FILE...` runs it.
+        Units stand in the value, as in the operator's file. An array such as `[[classes]]` that is missing has one
+        element with the defaults below.
+
+        ## Top
+        """ + SCHEMA.reference().replace("| SIGHUP |", "| |");
+  }
+
   /** The operator's keys as a variant has them. */
   public static Reading keys(Variant variant) {
     Map<String, String> flags = new LinkedHashMap<>();
--- a/lab/src/main/java/amberhoist/lab/run/Results.java
+++ b/lab/src/main/java/amberhoist/lab/run/Results.java
@@ -36,6 +36,7 @@
       }
     }
     Files.writeString(folder.resolve("report.md"), report());
+    Charts.timeLine(runs, folder.resolve("service.png"));
     return folder;
   }
 
@@ -50,10 +51,20 @@
       runs.byVariant().keySet().forEach(variant -> out.append(String.format(" %.4f |", runs.mean(variant, figure))));
       out.append('\n');
     }
-    out.append("\n## Claims\n\n");
+    differences(out);
+    out.append("\n![service in each second](service.png)\n\n## Claims\n\n");
     for (Verdict verdict : runs.verdicts()) {
       out.append("- ").append(verdict).append('\n');
     }
     return out.toString();
   }
+
+  /** Each further variant against the first one, pair by pair. */
+  private void differences(StringBuilder out) {
+    List<String> variants = List.copyOf(runs.byVariant().keySet());
+    for (String variant : variants.subList(1, variants.size())) {
+      out.append("\nService of ").append(variants.get(0)).append(" less that of ").append(variant)
+          .append(", 95 % interval: ").append(runs.difference(variants.get(0), variant, "service")).append(".\n");
+    }
+  }
 }
--- a/lab/src/main/java/amberhoist/lab/run/Runs.java
+++ b/lab/src/main/java/amberhoist/lab/run/Runs.java
@@ -6,6 +6,7 @@
 import amberhoist.lab.experiment.Experiment.Claim;
 import amberhoist.lab.experiment.Experiment.Variant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -95,8 +96,17 @@
 
   /** The mean of a figure over all seeds, NaN where there is no such figure. */
   public double mean(String variant, String figure) {
+    return Arrays.stream(values(variant, figure)).average().orElse(Double.NaN);
+  }
+
+  private double[] values(String variant, String figure) {
     return byVariant.get(variant).stream()
-        .mapToDouble(run -> run.outcome().figures().getOrDefault(figure, Double.NaN)).average().orElse(Double.NaN);
+        .mapToDouble(run -> run.outcome().figures().getOrDefault(figure, Double.NaN)).toArray();
+  }
+
+  /** How much more of a figure one variant has than the other, on the same seeds. */
+  public Difference difference(String variant, String other, String figure) {
+    return Difference.of(values(variant, figure), values(other, figure));
   }
 
   /** All claims judged. */
--- a/lab/src/test/java/amberhoist/lab/WorldTest.java
+++ b/lab/src/test/java/amberhoist/lab/WorldTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import amberhoist.config.schema.Problem;
@@ -9,6 +10,7 @@
 import amberhoist.lab.emulator.World.Outcome;
 import amberhoist.lab.experiment.Experiment;
 import amberhoist.lab.experiment.ExperimentFile;
+import amberhoist.lab.run.Difference;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -66,4 +68,31 @@
     assertTrue(told.get(3).startsWith("bad.toml:10: variants.0.set: "), told.get(3));
     assertTrue(told.get(4).contains("names no variant: nobody"), told.get(4));
   }
+
+  @Test
+  void theReferenceIsFresh() throws Exception {
+    assertEquals(ExperimentFile.page(), Files.readString(Path.of("../docs/experiments.md")));
+  }
+
+  @Test
+  void theCheckerSeesWhatChanceBreaksAndTheModuleKeeps() {
+    List<Problem> problems = new ArrayList<>();
+    Experiment experiment = ExperimentFile.read(Path.of("experiments/smoke-faults.toml"), problems);
+    assertEquals(List.of(), problems);
+    Outcome module = new World(experiment, experiment.variants().get(0), 1, true).run();
+    Outcome chance = new World(experiment, experiment.variants().get(1), 1, true).run();
+    assertEquals(List.of(), module.violations());
+    assertTrue(chance.violations().stream().anyMatch(found -> found.rule().contains("cold provider")));
+    assertTrue(module.figures().get("service") > chance.figures().get("service") + 0.2);
+    assertTrue(module.figures().get("cut_off") > 0, "the faults do something");
+  }
+
+  @Test
+  void aDifferenceIsClearOnlyWhereItsIntervalLeavesNothingOut() {
+    Difference clear = Difference.of(new double[] {0.9, 0.8, 0.85, 0.95}, new double[] {0.5, 0.45, 0.4, 0.6});
+    assertTrue(clear.clear() && clear.low() > 0.3 && clear.high() < 0.5, clear.toString());
+    Difference not = Difference.of(new double[] {0.9, 0.3, 0.8, 0.2}, new double[] {0.5, 0.6, 0.4, 0.6});
+    assertTrue(!not.clear() && not.low() < 0 && not.high() > 0, not.toString());
+    assertThrows(IllegalArgumentException.class, () -> Difference.of(new double[] {1}, new double[0]));
+  }
 }
