--- a/proxy/src/test/java/amberhoist/cli/ProcessTest.java
+++ b/proxy/src/test/java/amberhoist/cli/ProcessTest.java
@@ -20,6 +20,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -170,7 +171,8 @@
     try {
       status(first);
       Process second = serve();
-      assertEquals(1, second.waitFor());
+      assertTrue(second.waitFor(PATIENCE, TimeUnit.MILLISECONDS), "it serves beside the first one");
+      assertEquals(1, second.exitValue());
       status(first); // still answers
       first.destroyForcibly();
       first.waitFor();
