Prove the emulator's checker by 14 defects, and search random fault time lines

Need: a checker that has never been seen to catch anything proves nothing, and chosen faults find only what was thought of.

--- a/lab/src/main/java/amberhoist/lab/LabCommand.java
+++ b/lab/src/main/java/amberhoist/lab/LabCommand.java
@@ -17,14 +17,14 @@
 
 /** The laboratory's commands. */
 @Command(name = "lab", description = "Stand-ins and tools to try and measure a proxy with.",
-    subcommands = RunCommand.class)
+    subcommands = {RunCommand.class, MutantsCommand.class, FuzzCommand.class})
 final class LabCommand implements Runnable {
   @Spec
   private CommandSpec spec;
 
   @Override
   public void run() {
-    throw new ParameterException(spec.commandLine(), "say which: run, reference, try, stand-in, client or flood");
+    throw new ParameterException(spec.commandLine(), "say which: run, mutants, fuzz, reference, try, stand-in, client or flood");
   }
 
   /** A newcomer's first look. */
--- a/lab/src/main/java/amberhoist/lab/emulator/Attempt.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Attempt.java
@@ -13,6 +13,7 @@
   boolean waiting; // at the provider, for its set-up
   boolean up; // at the provider
   boolean left; // the proxy has closed it
+  long unansweredSince; // the first message since which no answer has come, 0 for none
   double load; // of its client now, micros of work a second
 
   Attempt(EmulatedProxy proxy, Visit visit, EmulatedProvider provider, long invocation) {
--- a/lab/src/main/java/amberhoist/lab/emulator/Checker.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Checker.java
@@ -11,7 +11,8 @@
 /**
  * Sees all that passes between clients, proxies and providers, and knows only the protocol's rules: one final answer
  * and in time; never two invoker calls out; nothing new to a draining provider 500 ms after the news; no cold provider
- * sent over its budget.
+ * sent over its budget; clients of a silent provider moved within 7 s; one side's end ends the other; nobody cut off
+ * without {@code MOVE}.
  */
 public final class Checker {
   static final int UP = 1;
@@ -21,6 +22,8 @@
   private static final int MOST_KEPT = 20;
   private static final long SLACK = 50_000; // by which a time limit on sockets may be passed
   private static final long DRAIN_GRACE = 500_000;
+  private static final long SILENCE = 7_000_000;
+  private static final long END = 1_000_000;
 
   /** A rule that was broken. */
   public record Violation(long atMicros, String rule, String who) {
@@ -105,6 +108,32 @@
     });
   }
 
+  /** A message of a joined client goes unanswered; its proxy must end or move it within 7 s. */
+  void unanswered(Attempt attempt) {
+    long now = world.time.now();
+    if (attempt.unansweredSince == 0) {
+      attempt.unansweredSince = now;
+    } else if (now - attempt.unansweredSince > SILENCE + SLACK) {
+      broken("a silent provider's client not moved", who(attempt.visit));
+      attempt.unansweredSince = now; // told once for each such time
+    }
+  }
+
+  /** A provider has ended a joined connection, as its proxy now knows; the client must be ended within a second. */
+  void ended(Attempt attempt) {
+    Visit visit = attempt.visit;
+    world.time.after(END + SLACK, () -> {
+      if (!visit.closed && !visit.gaveUp && visit.proxy.alive() && visit.proxy.life() == visit.life) {
+        broken("a client outlives its provider's end", who(visit));
+      }
+    });
+  }
+
+  /** A proxy cuts a joined client off by itself. */
+  void cutOff(Visit visit) {
+    broken("a client cut off without MOVE", who(visit));
+  }
+
   void started(EmulatedProvider provider) {
     coldArrivals.remove(provider.name);
   }
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedClient.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedClient.java
@@ -139,7 +139,10 @@
         world.figures.good(this);
       }
       long way = world.delay(provider.zone, mine.proxy.zone);
+      attempt.unansweredSince = 0;
       world.time.after(2 * way + (long) micros, () -> mine.proxy.returned(attempt));
+    } else {
+      world.checker.unanswered(attempt);
     }
     world.time.after(world.messagePeriod(), () -> message(mine));
   }
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -82,6 +82,12 @@
   void stop(Runnable gone) {
     stopping = true;
     int ofLife = life;
+    if (world.mutant == Mutant.CUTS_AT_STOP) {
+      alive = false;
+      cutAll();
+      gone.run();
+      return;
+    }
     core.stop(world.time.now(), () -> {
       if (life == ofLife && alive) {
         alive = false;
@@ -96,6 +102,9 @@
     visits.forEach(number -> {
       Visit visit = visits.remove(number);
       visit.closed = true;
+      if (visit.joined != null) {
+        world.checker.cutOff(visit);
+      }
       world.time.after(world.clientDelay(), () -> visit.client.cut(visit));
     });
     attempts.forEach(number -> leave(attempts.remove(number)));
@@ -108,6 +117,10 @@
       return;
     }
     visit.number = visits.add(visit);
+    if (world.mutant == Mutant.FORGETS_CLIENTS && visit.number % 10 == 0) {
+      visit.invocation = -1;
+      return;
+    }
     visit.invocation = core.invocation(world.time.now(), visit.number, visit.client.arrival());
   }
 
@@ -125,12 +138,18 @@
   void told(ListKind kind, List<Server> servers) {
     if (alive) {
       servers.forEach(server -> world.checker.told(this, server));
+      if (world.mutant == Mutant.HEARS_NO_NEWS) {
+        return;
+      }
       core.directory(world.time.now(), kind, servers);
     }
   }
 
   /** A message of the client passes. */
   void asked(Attempt attempt) {
+    if (world.mutant == Mutant.MISSES_SILENCE) {
+      return;
+    }
     core.asked(world.time.now(), attempt.invocation, attempt.number);
   }
 
@@ -173,6 +192,12 @@
     if (!holds(attempt)) {
       return;
     }
+    if (attempt.visit.joined == attempt) {
+      world.checker.ended(attempt);
+    }
+    if (world.mutant == Mutant.KEEPS_CLIENTS) {
+      return;
+    }
     attempts.remove(attempt.number);
     Visit visit = attempt.visit;
     if (visits.remove(visit.number) != null) {
@@ -190,10 +215,20 @@
     }
   }
 
+  /** The provider that a defect calls in place of this one. */
+  private EmulatedProvider misled(EmulatedProvider target) {
+    return switch (world.mutant) {
+      case CALLS_DRAINING -> world.providers().stream().filter(EmulatedProvider::draining).findFirst().orElse(target);
+      case SWAMPS_COLD -> world.providers().stream().filter(other -> other.process() && other.cold()).findFirst()
+          .orElse(target);
+      default -> target;
+    };
+  }
+
   @Override
   public long dial(long invocation, long client, String provider) {
     Visit visit = visits.get(client);
-    EmulatedProvider target = world.provider(provider);
+    EmulatedProvider target = misled(world.provider(provider));
     if (visit == null || target == null) {
       return SlotTable.NONE;
     }
@@ -223,6 +258,9 @@
     world.checker.sends(attempt);
     attempt.sent = true;
     attempt.visit.out++;
+    if (world.mutant == Mutant.CALLS_TWO) {
+      world.checker.sends(attempt);
+    }
     attempt.visit.calls++;
     long now = world.time.now();
     world.time.at(now, () -> {
@@ -236,7 +274,7 @@
   @Override
   public void abandon(long provider) {
     Attempt attempt = attempts.remove(provider);
-    if (attempt != null) {
+    if (attempt != null && world.mutant != Mutant.KEEPS_CALLS) {
       conclude(attempt);
       leave(attempt);
     }
@@ -260,7 +298,13 @@
       return;
     }
     visit.joined = attempt;
+    if (world.mutant == Mutant.FORGETS_UP) {
+      return;
+    }
     world.checker.answers(visit, Checker.UP);
+    if (world.mutant == Mutant.REJECTS_AFTER_UP) {
+      world.checker.answers(visit, Checker.REJECTED);
+    }
     world.time.after(world.clientDelay(), () -> visit.client.served(visit));
   }
 
@@ -275,6 +319,19 @@
 
   @Override
   public void reject(long client, long retryAfter) {
+    if (world.mutant == Mutant.FORGETS_REJECTIONS) {
+      visits.remove(client);
+      return;
+    }
+    if (world.mutant == Mutant.REJECTS_TOO_LATE) {
+      Visit late = visits.get(client);
+      world.time.after(2 * world.longestDeadline(), () -> world.checker.answers(late, Checker.REJECTED));
+      visits.remove(client);
+      return;
+    }
+    if (world.mutant == Mutant.ANSWERS_TWICE && visits.get(client) != null) {
+      world.checker.answers(visits.get(client), Checker.REJECTED);
+    }
     Visit visit = answer(client, Checker.REJECTED);
     if (visit != null) {
       long advice = Math.min(retryAfter, World.MOST_ADVICE);
--- a/lab/src/main/java/amberhoist/lab/emulator/World.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/World.java
@@ -37,6 +37,7 @@
   private static final long SECOND = 1_000_000;
 
   final Experiment experiment;
+  final Mutant mutant;
   final VirtualTime time = new VirtualTime(START);
   final Chance chance;
   final Trace trace = new Trace();
@@ -66,6 +67,12 @@
 
   /** A world for this variant and seed. */
   public World(Experiment experiment, Variant variant, long seed, boolean quick) {
+    this(experiment, variant, seed, quick, Mutant.NONE);
+  }
+
+  /** The same with a defect in its proxies. */
+  public World(Experiment experiment, Variant variant, long seed, boolean quick, Mutant mutant) {
+    this.mutant = mutant;
     this.experiment = experiment;
     this.variant = variant;
     this.seed = seed;
--- a/lab/src/main/java/amberhoist/lab/experiment/Experiment.java
+++ b/lab/src/main/java/amberhoist/lab/experiment/Experiment.java
@@ -186,6 +186,12 @@
       List.of(Kind.DEFAULT), List.of(Type.DEFAULT), List.of(Tenant.DEFAULT), List.of(), List.of(Variant.DEFAULT),
       List.of());
 
+  /** The same with other faults. */
+  public Experiment with(List<Fault> others) {
+    return new Experiment(name, title, length, warmup, quick, seeds, fleet, load, clients, network, store, directory,
+        kinds, classes, tenants, List.copyOf(others), variants, claims);
+  }
+
   /** How long it runs. */
   public Duration length(boolean quickly) {
     return quickly && !quick.isZero() ? quick : length;
--- a/lab/src/test/java/amberhoist/lab/WorldTest.java
+++ b/lab/src/test/java/amberhoist/lab/WorldTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import amberhoist.config.schema.Problem;
+import amberhoist.lab.emulator.Mutant;
 import amberhoist.lab.emulator.World;
 import amberhoist.lab.emulator.World.Outcome;
 import amberhoist.lab.experiment.Experiment;
@@ -17,6 +18,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class WorldTest {
   @TempDir
@@ -95,4 +98,15 @@
     assertTrue(!not.clear() && not.low() < 0 && not.high() > 0, not.toString());
     assertThrows(IllegalArgumentException.class, () -> Difference.of(new double[] {1}, new double[0]));
   }
+
+  @ParameterizedTest
+  @EnumSource(value = Mutant.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+  void theCheckerCatchesEachDefectWithinThreeSeeds(Mutant mutant) {
+    Experiment experiment = ExperimentFile.read(Path.of("experiments/smoke-faults.toml"), new ArrayList<>());
+    boolean caught = false;
+    for (long seed = 1; seed <= 3 && !caught; seed++) {
+      caught = !new World(experiment, experiment.variants().get(0), seed, true, mutant).run().violations().isEmpty();
+    }
+    assertTrue(caught, "nothing seen of " + mutant);
+  }
 }
