--- a/lab/src/main/java/amberhoist/lab/FuzzCommand.java
+++ b/lab/src/main/java/amberhoist/lab/FuzzCommand.java
@@ -92,7 +92,8 @@
   /** Leaves faults out, one at a time, as long as the same rule still breaks. */
   private List<Fault> shrink(Experiment experiment, List<Fault> faults, long seed, String rule) {
     List<Fault> least = new ArrayList<>(faults);
-    for (int i = 0; i < least.size();) {
+    int i = 0;
+    while (i < least.size()) {
       List<Fault> without = new ArrayList<>(least);
       without.remove(i);
       if (play(experiment, without, seed).violations().stream().anyMatch(found -> found.rule().equals(rule))) {
