--- a/lab/src/main/java/amberhoist/lab/LabCommand.java
+++ b/lab/src/main/java/amberhoist/lab/LabCommand.java
@@ -24,7 +24,7 @@
 
   @Override
   public void run() {
-    throw new ParameterException(spec.commandLine(), 
+    throw new ParameterException(spec.commandLine(),
         "say which: run, mutants, fuzz, reference, try, stand-in, client or flood");
   }
 
