--- a/proxy/src/main/java/amberhoist/front/Front.java
+++ b/proxy/src/main/java/amberhoist/front/Front.java
@@ -7,9 +7,6 @@
  * {@code docs/design/fronts.md}.
  */
 public interface Front {
-  /** Its name in logs and status. */
-  String name();
-
   /** A connection has been accepted for this front; the front gives it a {@link ClientSide} and reads from it. */
   void accepted(AsynchronousSocketChannel channel);
 }
--- a/proxy/src/main/java/amberhoist/front/line/LineClients.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClients.java
@@ -59,11 +59,6 @@
     mostAdvice = longestAdvice;
   }
 
-  @Override
-  public String name() {
-    return "line";
-  }
-
   @Override
   public void accepted(AsynchronousSocketChannel channel) {
     Connection c = transport.accepted(channel, this);
