Read experiments in one place, and drop what the emulator never used

Need: a last reading of the change found the same reading of files in three commands, and methods and fields of the emulator that nothing called. Change: ExperimentFile.readOrTell serves run, mutants and fuzz; the unused parts go.

--- a/lab/src/main/java/amberhoist/lab/FuzzCommand.java
+++ b/lab/src/main/java/amberhoist/lab/FuzzCommand.java
@@ -1,6 +1,5 @@
 package amberhoist.lab;
 
-import amberhoist.config.schema.Problem;
 import amberhoist.lab.emulator.Chance;
 import amberhoist.lab.emulator.Mutant;
 import amberhoist.lab.emulator.World;
@@ -51,12 +50,11 @@
     if (runs < 1) {
       throw new ParameterException(spec.commandLine(), "--runs: expected 1 or more, not " + runs);
     }
-    List<Problem> problems = new ArrayList<>();
-    Experiment experiment = ExperimentFile.read(file, problems);
-    if (!problems.isEmpty()) {
-      problems.forEach(System.err::println);
+    List<Experiment> read = ExperimentFile.readOrTell(List.of(file), System.err);
+    if (read.isEmpty()) {
       return 1;
     }
+    Experiment experiment = read.get(0);
     for (long seed = from; seed < from + runs; seed++) {
       List<Fault> faults = timeLine(experiment, new Chance(seed, 77));
       Outcome outcome = play(experiment, faults, seed);
--- a/lab/src/main/java/amberhoist/lab/MutantsCommand.java
+++ b/lab/src/main/java/amberhoist/lab/MutantsCommand.java
@@ -1,6 +1,5 @@
 package amberhoist.lab;
 
-import amberhoist.config.schema.Problem;
 import amberhoist.lab.emulator.Checker.Violation;
 import amberhoist.lab.emulator.Mutant;
 import amberhoist.lab.emulator.World;
@@ -8,7 +7,6 @@
 import amberhoist.lab.experiment.ExperimentFile;
 import amberhoist.lab.run.Runs;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -30,12 +28,11 @@
 
   @Override
   public Integer call() {
-    List<Problem> problems = new ArrayList<>();
-    Experiment experiment = ExperimentFile.read(file, problems);
-    if (!problems.isEmpty()) {
-      problems.forEach(System.err::println);
+    List<Experiment> read = ExperimentFile.readOrTell(List.of(file), System.err);
+    if (read.isEmpty()) {
       return 1;
     }
+    Experiment experiment = read.get(0);
     int status = 0;
     System.out.println("| defect | seeds until seen | first rule broken |\n| --- | ---: | --- |");
     for (Mutant mutant : Mutant.values()) {
--- a/lab/src/main/java/amberhoist/lab/RunCommand.java
+++ b/lab/src/main/java/amberhoist/lab/RunCommand.java
@@ -1,6 +1,5 @@
 package amberhoist.lab;
 
-import amberhoist.config.schema.Problem;
 import amberhoist.lab.emulator.Checker.Violation;
 import amberhoist.lab.experiment.Experiment;
 import amberhoist.lab.experiment.ExperimentFile;
@@ -10,7 +9,6 @@
 import amberhoist.lab.run.Runs.Verdict;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -50,13 +48,8 @@
     if (seeds < 0 || seeds > 100_000 || threads < 0 || threads > 1024) {
       throw new ParameterException(spec.commandLine(), "expected --seeds up to 100000 and --threads up to 1024");
     }
-    List<Problem> problems = new ArrayList<>();
-    List<Experiment> experiments = new ArrayList<>();
-    for (Path file : files) {
-      experiments.add(ExperimentFile.read(file, problems));
-    }
-    if (!problems.isEmpty()) {
-      problems.forEach(System.err::println); // nothing runs on a bad file
+    List<Experiment> experiments = ExperimentFile.readOrTell(files, System.err);
+    if (experiments.isEmpty()) {
       return 1;
     }
     int status = 0;
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedClient.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedClient.java
@@ -68,7 +68,7 @@
     long deadline = now + type.deadline().toNanos() / 1000;
     Visit mine = new Visit(this, proxy, now, deadline);
     visit = mine;
-    world.figures.asked(typeIndex);
+    world.figures.asked();
     world.time.after(world.clientDelay(), () -> proxy.arrive(mine));
     world.time.at(deadline, () -> giveUp(mine));
   }
@@ -101,7 +101,7 @@
     }
     visit = null;
     rejections++;
-    world.figures.rejected(typeIndex);
+    world.figures.rejected();
     if (patience < world.experiment.clients().atOnce()) {
       again(1000);
     } else if (advice > 0 && patience > 1 - world.experiment.clients().honour()) {
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProvider.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProvider.java
@@ -94,10 +94,6 @@
     return new Server(name, zone, kind.name(), 0, state, 1, startedAt);
   }
 
-  int connections() {
-    return connections;
-  }
-
   private void settle() {
     long now = world.time.now();
     double gap = now - settledAt;
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -28,7 +28,6 @@
   private Wheel wheel;
   private int life;
   private boolean alive;
-  private boolean stopping;
 
   EmulatedProxy(World world, int index, String zone) {
     this.world = world;
@@ -44,10 +43,6 @@
     return alive;
   }
 
-  boolean stopping() {
-    return stopping;
-  }
-
   void freshCounters() {
     counters = new Counters();
   }
@@ -59,7 +54,6 @@
   /** Begins a life with this list. */
   void start(List<Server> known) {
     alive = true;
-    stopping = false;
     life++;
     long now = world.time.now();
     wheel = new Wheel(TICK, now);
@@ -80,7 +74,6 @@
 
   /** Tells it to end, as SIGTERM does; {@code gone} runs when it has. */
   void stop(Runnable gone) {
-    stopping = true;
     int ofLife = life;
     if (world.mutant == Mutant.CUTS_AT_STOP) {
       alive = false;
--- a/lab/src/main/java/amberhoist/lab/emulator/Figures.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Figures.java
@@ -15,7 +15,6 @@
   private final double[] goodByType;
   private final double[] wantedByTenant;
   private final double[] goodByTenant;
-  private final long[] askedByType;
   private final Histogram[] setups;
   private final double[] goodBySecond;
   private final double[] wantedBySecond;
@@ -36,7 +35,6 @@
     goodByType = new double[experiment.classes().size()];
     wantedByTenant = new double[experiment.tenants().size()];
     goodByTenant = new double[experiment.tenants().size()];
-    askedByType = new long[experiment.classes().size()];
     setups = new Histogram[experiment.classes().size()];
     for (int i = 0; i < setups.length; i++) {
       setups[i] = new Histogram(LONGEST, 3);
@@ -76,14 +74,11 @@
     }
   }
 
-  void asked(int type) {
-    if (counts()) {
-      asked++;
-      askedByType[type]++;
-    }
+  void asked() {
+    asked += counts() ? 1 : 0;
   }
 
-  void rejected(int type) {
+  void rejected() {
     rejected += counts() ? 1 : 0;
   }
 
@@ -126,11 +121,6 @@
     return service;
   }
 
-  /** All set-ups, in micros. */
-  public Histogram setups() {
-    return allSetups;
-  }
-
   /** All figures by name. */
   Map<String, Double> all(Checker checker, long calls) {
     Map<String, Double> all = new LinkedHashMap<>();
--- a/lab/src/main/java/amberhoist/lab/emulator/Trace.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Trace.java
@@ -9,7 +9,6 @@
   private final ByteBuffer record = ByteBuffer.allocate(32);
   private final CRC32 one = new CRC32();
   private final CRC32C other = new CRC32C();
-  private long records;
 
   /** Adds what happened: its kind, when, and to whom. */
   void add(int kind, long time, long who, long what) {
@@ -17,12 +16,6 @@
     record.putLong(kind).putLong(time).putLong(who).putLong(what).flip();
     one.update(record.array(), 0, 32);
     other.update(record.array(), 0, 32);
-    records++;
-  }
-
-  /** How many records it is of. */
-  public long records() {
-    return records;
   }
 
   @Override
--- a/lab/src/main/java/amberhoist/lab/experiment/ExperimentFile.java
+++ b/lab/src/main/java/amberhoist/lab/experiment/ExperimentFile.java
@@ -9,6 +9,7 @@
 import amberhoist.config.schema.Written;
 import amberhoist.lab.experiment.Experiment.Claim;
 import amberhoist.lab.experiment.Experiment.Variant;
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -24,6 +25,14 @@
 
   private ExperimentFile() {}
 
+  /** Reads files for a command; all that is wrong with any of them is told, and the list is then empty. */
+  public static List<Experiment> readOrTell(List<Path> files, PrintStream err) {
+    List<Problem> problems = new ArrayList<>();
+    List<Experiment> experiments = files.stream().map(file -> read(file, problems)).toList();
+    problems.forEach(err::println);
+    return problems.isEmpty() ? experiments : List.of(); // nothing runs beside a bad file
+  }
+
   /** Reads a file; what is wrong with it is added to the problems, and the experiment is then of no use. */
   public static Experiment read(Path file, List<Problem> problems) {
     Map<String, Object> values = new LinkedHashMap<>();
