Open a door for operators: readiness and figures, ahead of all that clients bring

The door has a channel group and thread of its own; its questions take the next turn on the loop (Loop.ahead). Callers are bounded (24, six seconds); the oldest makes room. Figures count each connection once, by class, where its outcome becomes final (core.Answers, taken out of Core); attempts count when the line is written whole.

Tests without a bench: the parser in pieces and bad calls; dawdlers; a held loop (seen to time out with the turn ahead taken out); every ending of a connection against the sum.

--- a/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
@@ -94,6 +94,11 @@
     owed.remove(request);
   }
 
+  @Override
+  public boolean avoids(long now, String server) {
+    return false;
+  }
+
   @Override
   public void timer(long now, long token) {
     // it asks for none
--- a/proxy/src/main/java/amberhoist/cli/Rehearsal.java
+++ b/proxy/src/main/java/amberhoist/cli/Rehearsal.java
@@ -13,6 +13,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -41,7 +42,7 @@
   /** Serves a PING and one invocation, which no provider answers, by this configuration; then stops. */
   static void run(String file) throws BadConfig, IOException {
     Map<String, String> environment = Map.of("LB_CONFIG", file, "LB_LISTEN", "127.0.0.1:0",
-        "LB_DISCOVERY", "127.0.0.1:1");
+        "LB_DISCOVERY", "127.0.0.1:1", "LB_MGMT", "127.0.0.1:0");
     Service service = Service.start(Config.load(environment, new Clock()));
     try (Socket client = new Socket(InetAddress.getLoopbackAddress(), service.address().getPort())) {
       client.setSoTimeout(10_000);
@@ -53,6 +54,14 @@
           .getBytes(StandardCharsets.ISO_8859_1));
       System.err.println("rehearsal: " + answers.readLine());
     }
+    for (String path : List.of("/v1/readyz", "/v1/metrics")) {
+      try (Socket operator = new Socket(InetAddress.getLoopbackAddress(), service.doorAddress().getPort())) {
+        operator.setSoTimeout(10_000);
+        operator.getOutputStream().write(("GET " + path + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        String answer = new String(operator.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        System.err.println("rehearsal: " + answer.lines().findFirst().orElse("no answer"));
+      }
+    }
     service.reload(environment);
     service.stop();
   }
--- a/proxy/src/main/java/amberhoist/config/Config.java
+++ b/proxy/src/main/java/amberhoist/config/Config.java
@@ -25,9 +25,10 @@
  * @param sockets the most file descriptors
  * @param known the directory's list as this proxy last had it
  * @param limits what the core keeps to
+ * @param mgmt where operators call, null for nowhere
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-    int sockets, News known, Settings settings, Limits limits) {
+    int sockets, News known, Settings settings, Limits limits, InetSocketAddress mgmt) {
   private static final int SOCKETS = 1024;
   private static final long DIAL = 250_000;
   private static final long LONGEST = 3_000_000;
@@ -58,13 +59,14 @@
 
   /** The same with another limit of descriptors. */
   Config withSockets(int descriptors) {
-    return new Config(name, listen, discovery, seed, descriptors, known, settings, limits);
+    return new Config(name, listen, discovery, seed, descriptors, known, settings, limits, mgmt);
   }
 
   private static Config read(JsonParser in, Map<String, String> environment, Clock clock) throws IOException {
     String name = environment.get("LB_NAME");
     String listen = environment.get("LB_LISTEN");
     String discovery = environment.get("LB_DISCOVERY");
+    String mgmt = environment.get("LB_MGMT");
     String seed = null;
     int sockets = SOCKETS;
     News known = new News(0, true, List.of(), Map.of());
@@ -77,6 +79,7 @@
         case "name" -> name = name == null ? in.getText() : name;
         case "listen" -> listen = listen == null ? in.getText() : listen;
         case "discovery" -> discovery = discovery == null ? in.getText() : discovery;
+        case "mgmt" -> mgmt = mgmt == null && in.currentToken() != JsonToken.VALUE_NULL ? in.getText() : mgmt;
         case "seed" -> seed = in.getText();
         case "limits" -> {
           require(in.currentToken() == JsonToken.START_OBJECT, "limits is not an object");
@@ -107,7 +110,8 @@
     return new Config(name == null ? "" : name, Address.parse(listen), Address.parse(discovery),
         seed == null ? System.nanoTime() : Long.parseUnsignedLong(seed, 16), sockets, known, read,
         new Limits(settings.whole("limits.dial-timeout", DIAL), longest == 0 ? LONGEST : longest,
-            settings.names("lanes"), settings.names("tenants")));
+            settings.names("lanes"), settings.names("tenants")),
+        mgmt == null || mgmt.isEmpty() ? null : Address.parse(mgmt));
   }
 
   private static void require(boolean holds, String fault) {
--- a/proxy/src/main/java/amberhoist/config/Layer.java
+++ b/proxy/src/main/java/amberhoist/config/Layer.java
@@ -19,9 +19,10 @@
  */
 record Layer(Map<String, Written> values) {
   private static final Map<String, String> PLATFORM = Map.of("name", "instance.name", "listen",
-      "instance.listen", "discovery", "instance.directory");
+      "instance.listen", "discovery", "instance.directory", "mgmt", "instance.mgmt");
   private static final Map<String, String> VARIABLES = Map.of("LB_NAME", "instance.name", "LB_LISTEN",
-      "instance.listen", "LB_DISCOVERY", "instance.directory", "LB_CONFIG", "instance.platform");
+      "instance.listen", "LB_DISCOVERY", "instance.directory", "LB_CONFIG", "instance.platform",
+      "LB_MGMT", "instance.mgmt");
 
   private Layer() {
     this(new LinkedHashMap<>());
--- a/proxy/src/main/java/amberhoist/config/Operator.java
+++ b/proxy/src/main/java/amberhoist/config/Operator.java
@@ -25,6 +25,8 @@
       @Setting(value = "Name in logs and status. Also `LB_NAME`.", restart = true) String name,
       @Setting(value = "Address and port to listen on for clients, such as `10.0.0.4:3000`; port 0 lets the system"
           + " choose. Also `LB_LISTEN`.", restart = true) String listen,
+      @Setting(value = "Address and port where operators call (`docs/operations/day-by-day.md`); empty for nowhere."
+          + " Also `LB_MGMT`.", restart = true) String mgmt,
       @Setting("Address and port of the directory. Also `LB_DISCOVERY`, which counts at the start only.")
       String directory,
       @Setting(value = "The platform's JSON file, which holds the settings of classes and tenants. Also"
@@ -120,7 +122,7 @@
 
   /** What holds where nothing else is set. */
   public static final Operator DEFAULT = new Operator(
-      new Instance("", "", "", ""),
+      new Instance("", "", "", "", ""),
       new Log(LogSettings.DEFAULT.format(), LogSettings.DEFAULT.level(), LogSettings.DEFAULT.rate(),
           LogSettings.DEFAULT.burst(), new Size(LogSettings.DEFAULT.queue())),
       new Admin("", Duration.ofSeconds(5)),
--- a/proxy/src/main/java/amberhoist/config/Setup.java
+++ b/proxy/src/main/java/amberhoist/config/Setup.java
@@ -85,7 +85,8 @@
   private static Map<String, String> environment(Map<String, String> environment, Operator operator) {
     Map<String, String> effective = new HashMap<>(environment);
     Map.of("LB_NAME", operator.instance().name(), "LB_LISTEN", operator.instance().listen(), "LB_DISCOVERY",
-        operator.instance().directory(), "LB_CONFIG", operator.instance().platform()).forEach((name, value) -> {
+        operator.instance().directory(), "LB_CONFIG", operator.instance().platform(), "LB_MGMT",
+        operator.instance().mgmt()).forEach((name, value) -> {
           if (value.isEmpty()) {
             effective.remove(name);
           } else {
--- a/proxy/src/main/java/amberhoist/core/Calls.java
+++ b/proxy/src/main/java/amberhoist/core/Calls.java
@@ -81,6 +81,7 @@
     Invocation it = out(number, provider);
     if (it != null) {
       it.written = true;
+      counters.outcomes().attempted();
       Invocation.cancel(it.dialTimer);
     }
   }
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -10,10 +10,10 @@
 import amberhoist.decide.Balancer.Settings;
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
+import amberhoist.metrics.Outcomes;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /**
  * The core: events from the sockets and the clock go in, commands come out, and the balancer decides. It does
@@ -35,6 +35,7 @@
   private final Telemetry telemetry;
   private final EventQueue events = new EventQueue();
   private final Calls calls;
+  private final Answers answers;
   private final SilenceWatch silence;
   private final Stopping stopping;
   private Limits limits;
@@ -53,8 +54,10 @@
     this.timing = timing;
     this.telemetry = telemetry;
     calls = new Calls(invocations, wheel, events, commands, counters, telemetry, this::over);
+    answers = new Answers(invocations, events, commands, counters, telemetry, balancer);
     silence = new SilenceWatch(invocations, wheel, events, timing, this::lose);
-    stopping = new Stopping(invocations, wheel, events, this::move, this::giveUp);
+    stopping = new Stopping(invocations, wheel, events, this::move,
+        number -> answers.giveUp(number, invocations.get(number), this.timing.stopAdvice()));
   }
 
   private void event(long time, Runnable body) {
@@ -90,8 +93,9 @@
    * @return the invocation's number; it may already have been answered
    */
   public long invocation(long time, long client, Arrival arrival) {
-    Invocation it = new Invocation(client, time, arrival.provider());
+    Invocation it = new Invocation(client, time, arrival.type(), arrival.provider());
     long number = invocations.add(it);
+    counters.outcomes().taken(it.type);
     event(time, () -> {
       long wait = Math.max(0, arrival.waitMillis() * 1000 - timing.answerMargin());
       long deadline = events.now() + (it.handover == null ? wait : Math.min(wait, HANDOVER_MOST));
@@ -163,6 +167,7 @@
       }
       counters.add(Count.CALL_UP);
       counters.add(Count.ANSWERED_UP);
+      counters.outcomes().ended(it.type, Outcomes.Outcome.SERVED);
       telemetry.called(number, it.called, null, events.now() - it.callStart);
       telemetry.answered(number, Answer.UP, events.now() - it.arrived);
       it.cancelTimers();
@@ -252,6 +257,15 @@
 
   /** The client has left, before its answer or after. */
   public void clientLeft(long time, long number) {
+    left(time, number, Outcomes.Outcome.REFUSED);
+  }
+
+  /** The front has told the client that its invocation fails, and ends it. */
+  public void clientFailed(long time, long number) {
+    left(time, number, Outcomes.Outcome.FAILED);
+  }
+
+  private void left(long time, long number, Outcomes.Outcome before) {
     event(time, () -> {
       Invocation it = invocations.get(number);
       if (it == null) {
@@ -260,28 +274,12 @@
       counters.add(Count.CLIENT_LEFT);
       if (it.phase == Phase.UP) {
         end(number, it, Outcome.CANCELLED);
-        return;
+      } else {
+        answers.depart(number, it, before);
       }
-      depart(number, it);
     });
   }
 
-  /** Ends an invocation that nothing is owed for any more. */
-  private void depart(long number, Invocation it) {
-    it.cancelTimers();
-    invocations.remove(number);
-    if (it.balanced) {
-      balancer.departed(events.now(), number);
-    }
-    if (it.phase == Phase.CALLING) {
-      commands.abandon(it.provider);
-      counters.add(Count.CALL_ABANDONED);
-      if (it.balanced) {
-        balancer.ended(events.now(), number, it.calls - 1, Outcome.CANCELLED, events.now() - it.callStart, true);
-      }
-    }
-  }
-
   /** The last moment for an answer. The balancer answers earlier; this guards the rule should it not. */
   private void deadline(long time, long number) {
     event(time, () -> {
@@ -292,10 +290,7 @@
       it = invocations.get(number);
       if (it != null && it.phase != Phase.UP) {
         counters.invariant(!it.balanced, "no answer at the deadline");
-        counters.add(Count.ANSWERED_REJECTION);
-        telemetry.answered(number, Answer.REJECTION, events.now() - it.arrived);
-        commands.reject(it.client, 0);
-        depart(number, it);
+        answers.giveUp(number, it, 0);
       }
     });
   }
@@ -311,23 +306,12 @@
 
   @Override
   public void refuse(long request, long retryAfter) {
-    answer(request, Count.ANSWERED_REJECTION, Answer.REJECTION, it -> commands.reject(it.client, retryAfter));
+    answers.reject(request, retryAfter);
   }
 
   @Override
   public void fail(long request) {
-    answer(request, Count.ANSWERED_FAILURE, Answer.FAILURE, it -> commands.fail(it.client));
-  }
-
-  private void answer(long number, Count count, Answer kind, Consumer<Invocation> answer) {
-    Invocation it = invocations.remove(number);
-    counters.invariant(it != null && it.phase == Phase.WAITING, "an answer that is not owed");
-    if (it != null) {
-      it.cancelTimers();
-      counters.add(count);
-      telemetry.answered(number, kind, events.now() - it.arrived);
-      answer.accept(it);
-    }
+    answers.fail(request);
   }
 
   @Override
@@ -368,15 +352,6 @@
     event(time, () -> stopping.begin(time, limits.longest(), timing, done));
   }
 
-  /** Rejects what is still owed an answer when the proxy stops. */
-  private void giveUp(long number) {
-    Invocation it = invocations.get(number);
-    counters.add(Count.ANSWERED_REJECTION);
-    telemetry.answered(number, Answer.REJECTION, events.now() - it.arrived);
-    commands.reject(it.client, timing.stopAdvice());
-    depart(number, it);
-  }
-
   /** How many invocations are joined to each provider, by its name. */
   public Map<String, Integer> standing() {
     Map<String, Integer> standing = new HashMap<>();
@@ -389,6 +364,11 @@
     return standing;
   }
 
+  /** Whether the balancer passes this provider by now. */
+  public boolean avoids(long time, String provider) {
+    return balancer.avoids(Math.max(time, events.now()), provider);
+  }
+
   /** How many invocations are held, called or joined. */
   public int size() {
     return invocations.size();
--- a/proxy/src/main/java/amberhoist/core/Invocation.java
+++ b/proxy/src/main/java/amberhoist/core/Invocation.java
@@ -18,6 +18,7 @@
   final long client;
   Told told; // from the moment it is joined to a provider
   final long arrived;
+  final String type;
   /** Set for a connection that stood before the start, and then the provider that has it. */
   final String handover;
   Request request;
@@ -36,9 +37,10 @@
   Timer deadlineTimer;
   Timer silenceTimer;
 
-  Invocation(long client, long arrived, String handover) {
+  Invocation(long client, long arrived, String type, String handover) {
     this.client = client;
     this.arrived = arrived;
+    this.type = type;
     this.handover = handover;
   }
 
--- a/proxy/src/main/java/amberhoist/decide/Balancer.java
+++ b/proxy/src/main/java/amberhoist/decide/Balancer.java
@@ -264,6 +264,9 @@
   /** The client has left, or the answer is overdue; none is owed any more. Attempts still out still end. */
   void departed(long now, long request);
 
+  /** Whether this server gets nothing new now, by its state or by the balancer's own choice. */
+  boolean avoids(long now, String server);
+
   /** A timer asked for is due. */
   void timer(long now, long token);
 }
--- a/proxy/src/main/java/amberhoist/decide/Ledger.java
+++ b/proxy/src/main/java/amberhoist/decide/Ledger.java
@@ -62,6 +62,11 @@
   static final class Usual {
     double load;
     int told;
+
+    void learn(double next, int kept) {
+      told++;
+      load += (next - load) / Math.min(told, kept);
+    }
   }
 
   /** A request from its arrival to the end of its connection. */
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -434,8 +434,7 @@
     long mixed = group.hashCode() * 0x9E3779B97F4A7C15L;
     mixed ^= node.info.name().hashCode() * 0xC2B2AE3D27D4EB4FL;
     mixed = (mixed ^ mixed >>> 29) * 0xBF58476D1CE4E5B9L;
-    double chance = ((mixed ^ mixed >>> 32) >>> 11) / (double) (1L << 53);
-    return -Math.log(Math.max(chance, 1e-15)) / size(node);
+    return -Math.log(Math.max(((mixed ^ mixed >>> 32) >>> 11) / (double) (1L << 53), 1e-15)) / size(node);
   }
 
   private boolean near(Node node) {
@@ -525,8 +524,7 @@
   }
 
   private void decay(long now) {
-    double kept = Math.exp((rateAt - now) / MEMORY);
-    rate *= kept;
+    rate *= Math.exp((rateAt - now) / MEMORY);
     rateAt = now;
   }
 
@@ -677,9 +675,7 @@
       job.load = load;
       job.told = true;
       meanLoad += (load - meanLoad) / 50;
-      Usual usual = usuals.computeIfAbsent(job.type.name(), name -> new Usual());
-      usual.told++;
-      usual.load += (load - usual.load) / Math.min(usual.told, LOADS_KEPT);
+      usuals.computeIfAbsent(job.type.name(), name -> new Usual()).learn(load, LOADS_KEPT);
     }
   }
 
@@ -768,6 +764,12 @@
     }
   }
 
+  @Override
+  public boolean avoids(long now, String server) {
+    Node node = nodes.get(server);
+    return node == null || !node.ready || suspect(now, node) || slow(now, node) > 0;
+  }
+
   @Override
   public void timer(long now, long token) {
     started();
--- a/proxy/src/main/java/amberhoist/front/line/LineClients.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClients.java
@@ -7,6 +7,7 @@
 import amberhoist.log.EventLog;
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
+import amberhoist.metrics.Outcomes.Outcome;
 import amberhoist.net.Connection;
 import amberhoist.net.Connection.Role;
 import amberhoist.net.Lobby;
@@ -72,7 +73,7 @@
     if (c.role() == Role.CLIENT && !c.joined()) {
       // Guards against lines for a provider that never saw them: a client waits after its first one.
       malformed(c, "lines before the answer");
-      core.clientLeft(loop.now(), c.invocation());
+      core.clientFailed(loop.now(), c.invocation());
       return;
     }
     try {
@@ -127,6 +128,8 @@
     ids.put(opening.id(), c.number());
     if (!lobby.room(0) || lobby.crowded() && opening.provider() == null) {
       counters.add(Count.CROWDED_OUT);
+      counters.outcomes().taken(opening.type());
+      counters.outcomes().ended(opening.type(), Outcome.REFUSED);
       log.tell(Event.CLIENT_CROWDED_OUT, "descriptors run short", "peer", c);
       reject(c, limits.crowdedAdvice()); // a provider connection would take the last descriptors
       return;
@@ -136,6 +139,9 @@
     loop.post(() -> {
       if (transport.holds(c) && !c.finishing()) {
         c.invocation(core.invocation(arrived, c.number(), opening.arrival()));
+      } else {
+        counters.outcomes().taken(opening.type()); // it left, or was told, before its turn came
+        counters.outcomes().ended(opening.type(), Outcome.REFUSED);
       }
     });
   }
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -24,6 +24,8 @@
   CALL_ENDED(Level.DEBUG, true, "an invoker call ended", "invocation", "provider", "outcome", "micros"),
   INVOCATION_ANSWERED(Level.DEBUG, true, "an invocation got its final answer", "invocation", "outcome", "micros"),
   MODULE_SAID(Level.INFO, true, "the decision module has something to say"),
+  DOOR_LISTENS(Level.INFO, false, "operators are answered there", "address"),
+  DOOR_FAILED(Level.WARN, true, "a caller of the operators' door could not be taken in", "why"),
   ADMIN_LISTENS(Level.INFO, false, "the admin socket answers", "address"),
   ADMIN_FAILED(Level.WARN, true, "a question on the admin socket could not be answered", "why"),
   LOOP_FAULT(Level.ERROR, true, "a task on the loop failed; the loop goes on", "why"),
--- a/proxy/src/main/java/amberhoist/metrics/Counters.java
+++ b/proxy/src/main/java/amberhoist/metrics/Counters.java
@@ -47,6 +47,12 @@
   }
 
   private final Map<Count, Long> counts = new EnumMap<>(Count.class);
+  private final Outcomes outcomes = new Outcomes();
+
+  /** What became of the connections asked for, by class. */
+  public Outcomes outcomes() {
+    return outcomes;
+  }
 
   /** Counts one more. */
   public void add(Count count) {
--- a/proxy/src/main/java/amberhoist/net/Loop.java
+++ b/proxy/src/main/java/amberhoist/net/Loop.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -23,6 +25,7 @@
   private final ScheduledThreadPoolExecutor executor;
   private final AsynchronousChannelGroup group;
   private final ArrayDeque<Runnable> tasks = new ArrayDeque<>();
+  private final Queue<Runnable> urgent = new ConcurrentLinkedQueue<>();
   private boolean running;
   private long lastTick = clock.now();
 
@@ -51,6 +54,15 @@
     lastTick = clock.now();
   }
 
+  /**
+   * Runs a task at the next turn, ahead of all that waits; from any thread. Guards against operators waiting behind
+   * whatever a crowd of clients has brought.
+   */
+  public void ahead(Runnable task) {
+    urgent.add(task);
+    post(() -> { });
+  }
+
   /** Runs a task behind those that are already waiting. */
   public void post(Runnable task) {
     executor.execute(() -> run(task));
@@ -67,6 +79,9 @@
     }
     running = true;
     for (Runnable next = tasks.poll(); next != null; next = tasks.poll()) {
+      for (Runnable first = urgent.poll(); first != null; first = urgent.poll()) {
+        guard(first);
+      }
       guard(next);
     }
     running = false;
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/service/Desk.java
@@ -0,0 +1,63 @@
+package amberhoist.service;
+
+import amberhoist.core.Core;
+import amberhoist.decide.Balancer.Server;
+import amberhoist.directory.AddressBook;
+import amberhoist.metrics.Counters;
+import amberhoist.metrics.Outcomes;
+import amberhoist.metrics.Outcomes.Outcome;
+import amberhoist.mgmt.Figures;
+import amberhoist.mgmt.Operations;
+import amberhoist.net.Loop;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** Takes what the operators' door asks for to the loop's thread, which owns all that it is answered from. */
+final class Desk implements Operations {
+  private final Loop loop;
+  private final Core core;
+  private final AddressBook addresses;
+  private final Counters counters;
+  private final BooleanSupplier stopping;
+
+  /** A desk for this core; {@code stopping} is asked on the loop's thread. */
+  Desk(Loop loop, Core core, AddressBook addresses, Counters counters, BooleanSupplier stopping) {
+    this.loop = loop;
+    this.core = core;
+    this.addresses = addresses;
+    this.counters = counters;
+    this.stopping = stopping;
+  }
+
+  private <T> CompletableFuture<T> asked(Supplier<T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    loop.ahead(() -> {
+      try {
+        answer.complete(question.get());
+      } catch (RuntimeException fault) {
+        answer.completeExceptionally(fault);
+      }
+    });
+    return answer;
+  }
+
+  @Override
+  public CompletableFuture<String> unready() {
+    return asked(() -> stopping.getAsBoolean() ? "it stops"
+        : addresses.listed().isEmpty() ? "it has no list of viewer hosts" : "");
+  }
+
+  @Override
+  public CompletableFuture<Figures> figures() {
+    return asked(() -> {
+      Outcomes outcomes = counters.outcomes();
+      List<Server> listed = addresses.listed();
+      long now = loop.now();
+      return new Figures(outcomes.byClass(Outcome.SERVED), outcomes.byClass(Outcome.REFUSED),
+          outcomes.byClass(Outcome.FAILED), outcomes.attempts(), core.size(), listed.size(),
+          listed.stream().filter(server -> core.avoids(now, server.name())).count());
+    });
+  }
+}
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -9,6 +9,7 @@
 import amberhoist.config.Setup;
 import amberhoist.config.Setup.Sources;
 import amberhoist.core.Core;
+import amberhoist.decide.Balancer.RequestClass;
 import amberhoist.decide.Policy;
 import amberhoist.directory.AddressBook;
 import amberhoist.front.Switchboard;
@@ -20,6 +21,8 @@
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
+import amberhoist.mgmt.Door;
+import amberhoist.mgmt.Routes;
 import amberhoist.net.Acceptor;
 import amberhoist.net.Connection;
 import amberhoist.net.DirectoryWatch;
@@ -62,6 +65,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile Setup setup;
   private volatile AdminSocket admin;
+  private volatile Door door;
   private List<String> restartNeeded = List.of(); // of the loop's thread
   private boolean stopping; // of the loop's thread
   private InetSocketAddress watched; // of the loop's thread
@@ -103,7 +107,9 @@
   }
 
   private void limit(Setup by) {
-    lobby.limit(Math.max(LEAST_DESCRIPTORS, by.config().sockets() - OWN_DESCRIPTORS));
+    int own = OWN_DESCRIPTORS + (by.config().mgmt() == null ? 0 : Door.DESCRIPTORS);
+    lobby.limit(Math.max(LEAST_DESCRIPTORS, by.config().sockets() - own));
+    counters.outcomes().classes(by.config().settings().classes().stream().map(RequestClass::name).toList());
     clients.limits(by.operator().lineLimits(), by.config().settings().maxRetryAfter());
   }
 
@@ -133,11 +139,12 @@
     try {
       open.get();
       service.listenToOperators();
+      service.openDoor();
       InetSocketAddress address = service.address();
       service.log.tell(Event.PROXY_SERVES, config.name() + " serves on " + address, "address", address);
       return service;
     } catch (InterruptedException | ExecutionException | IOException fault) {
-      service.loop.close();
+      service.kill();
       throw new IOException(fault.getMessage(), fault);
     }
   }
@@ -150,6 +157,21 @@
     }
   }
 
+  /** Opened last: whoever is answered there finds a proxy that serves. */
+  private void openDoor() throws IOException {
+    InetSocketAddress address = setup.config().mgmt();
+    if (address != null) {
+      door = new Door(address, new Routes(new Desk(loop, core, addresses, counters, () -> stopping)),
+          fault -> log.tell(Event.DOOR_FAILED, "a caller could not be taken in", "why", fault));
+      log.tell(Event.DOOR_LISTENS, "operators are answered", "address", door.address());
+    }
+  }
+
+  /** Where operators are answered, or null. */
+  public InetSocketAddress doorAddress() throws IOException {
+    return door == null ? null : door.address();
+  }
+
   private void tellSuppressed() {
     log.tellSuppressed();
     loop.wheel().arm(loop.now() + SUPPRESSED_EACH, at -> tellSuppressed());
@@ -252,6 +274,9 @@
     if (admin != null) {
       admin.close();
     }
+    if (door != null) {
+      door.close();
+    }
     loop.close();
     asks.forEach(ask -> ask.completeExceptionally(new IllegalStateException("the proxy has stopped")));
   }
--- /dev/null
+++ b/proxy/src/test/java/amberhoist/mgmt/CallParserTest.java
@@ -0,0 +1,72 @@
+package amberhoist.mgmt;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class CallParserTest {
+  private static CallParser read(String text, int piece) {
+    CallParser parser = new CallParser();
+    byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+    for (int at = 0; at < bytes.length; at += piece) {
+      parser.take(ByteBuffer.wrap(bytes, at, Math.min(piece, bytes.length - at)));
+    }
+    return parser;
+  }
+
+  @Test
+  void aCallIsReadInWhateverPiecesItComes() {
+    Map<String, Call> calls = Map.of(
+        "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n", new Call("GET", List.of("v1", "readyz")),
+        "\r\nGET /v1/metrics?all=1#x HTTP/1.0\n\n", new Call("GET", List.of("v1", "metrics")),
+        "GET http://h:1/v1/readyz HTTP/1.1\r\n\r\n", new Call("GET", List.of("v1", "readyz")),
+        "PUT /v1/viewer-hosts/s%2d5%C3%A9%2F/suspend HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}",
+        new Call("PUT", List.of("v1", "viewer-hosts", "s-5\u00e9/", "suspend")));
+    calls.forEach((text, call) -> {
+      for (int piece : List.of(1, 2, 7, text.length())) {
+        CallParser parser = read(text, piece);
+        assertTrue(parser.done(), text);
+        assertEquals(call, parser.call(), text);
+        assertNull(parser.fault(), text);
+      }
+    });
+  }
+
+  @Test
+  void theBodyIsLeftInTheBuffer() {
+    CallParser parser = new CallParser();
+    ByteBuffer in = ByteBuffer.wrap("PUT / HTTP/1.1\r\n\r\n{}".getBytes(StandardCharsets.ISO_8859_1));
+    parser.take(in);
+    assertEquals(2, in.remaining());
+  }
+
+  @Test
+  void whatIsNoCallIsAnsweredSo() {
+    for (String text : List.of("GET\r\n\r\n", "GET / HTTP/2\r\n\r\n", "G@T / HTTP/1.1\r\n\r\n",
+        "GET x HTTP/1.1\r\n\r\n",
+        "GET /a%2 HTTP/1.1\r\n\r\n", "GET /a%zz HTTP/1.1\r\n\r\n", "GET /%ff HTTP/1.1\r\n\r\n",
+        "GET /\u00e9 HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nno colon\r\n\r\n", "GET / HTTP/1.1\r\n: x\r\n\r\n",
+        "GET  / HTTP/1.1\r\n\r\n", "OPEN a b c=d\r\n\r\n")) {
+      CallParser parser = read(text, text.length());
+      assertNull(parser.call(), text);
+      assertEquals(400, parser.fault().status(), text);
+    }
+    CallParser cut = read("GET / HTTP/1.1\r\nHost", 3);
+    assertFalse(cut.done());
+    cut.ended();
+    assertEquals(400, cut.fault().status());
+  }
+
+  @Test
+  void aHeadWithoutEndIsRefusedBeforeItGrows() {
+    CallParser parser = read("GET / HTTP/1.1\r\nX: " + "y".repeat(CallParser.LONGEST), 1000);
+    assertEquals(431, parser.fault().status());
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/amberhoist/service/DoorStoriesTest.java
@@ -0,0 +1,229 @@
+package amberhoist.service;
+
+import static amberhoist.service.Peers.opening;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberhoist.service.Peers.Peer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Stories at the operators' door. */
+@Timeout(60)
+class DoorStoriesTest {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** An answer: status line, headers and body as they came. */
+  record Said(String status, String head, String body) {}
+
+  private static Socket caller(Peers peers) throws Exception {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), peers.service.doorAddress().getPort());
+    socket.setSoTimeout(Peers.PATIENCE);
+    return socket;
+  }
+
+  private static void send(Socket socket, String text) throws Exception {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static Said answer(Socket socket) throws Exception {
+    String text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    int body = text.indexOf("\r\n\r\n");
+    return new Said(text.substring(9, 12), text.substring(0, body), text.substring(body + 4));
+  }
+
+  static Said call(Peers peers, String text) throws Exception {
+    try (Socket socket = caller(peers)) {
+      send(socket, text);
+      return answer(socket);
+    }
+  }
+
+  static JsonNode figures(Peers peers) throws Exception {
+    return JSON.readTree(call(peers, "GET /v1/metrics HTTP/1.1\r\n\r\n").body());
+  }
+
+  private static Peers withDoor(int providers) throws Exception {
+    return new Peers(providers, 1024, "[instance]\nmgmt = \"127.0.0.1:0\"\n");
+  }
+
+  @Test
+  void whatIsAskedWronglyIsToldPlainly() throws Exception {
+    try (Peers peers = withDoor(1)) {
+      assertEquals("200", call(peers, "GET /v1/readyz HTTP/1.1\r\n\r\n").status());
+      assertEquals("404", call(peers, "GET /v1/nothing HTTP/1.1\r\n\r\n").status());
+      Said wrong = call(peers, "POST /v1/readyz HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+      assertEquals("405", wrong.status());
+      assertTrue(wrong.head().contains("\r\nAllow: GET"), wrong.head());
+      assertEquals("400", call(peers, "HELLO\r\n\r\n").status());
+      assertEquals("431", call(peers, "GET / HTTP/1.1\r\nX: " + "y".repeat(9000)).status());
+      try (Socket pieces = caller(peers)) {
+        send(pieces, "GET /v1/rea");
+        send(pieces, "dyz HTTP/1.1\r\n");
+        send(pieces, "\r\n");
+        pieces.shutdownOutput();
+        assertEquals("200", answer(pieces).status());
+      }
+    }
+  }
+
+  @Test
+  void withoutAListItIsNotReady() throws Exception {
+    try (Peers peers = withDoor(0)) {
+      Said said = call(peers, "GET /v1/readyz HTTP/1.1\r\n\r\n");
+      assertEquals("503", said.status());
+      assertTrue(said.body().contains("no list"), said.body());
+      assertEquals(0, figures(peers).path("served").path("chat").asInt(-1), "every class is there from 0 on");
+    }
+  }
+
+  @Test
+  void callersThatDawdleKeepNobodyWaitingAndMakeRoom() throws Exception {
+    try (Peers peers = withDoor(1)) {
+      List<Socket> dawdlers = new ArrayList<>();
+      for (int i = 0; i < 60; i++) { // more than are held at once
+        Socket dawdler = caller(peers);
+        send(dawdler, "GET /v1/re");
+        dawdlers.add(dawdler);
+      }
+      assertEquals("200", call(peers, "GET /v1/readyz HTTP/1.1\r\n\r\n").status());
+      Socket last = dawdlers.get(59);
+      send(last, "adyz HTTP/1.1\r\n\r\n");
+      assertEquals("200", answer(last).status(), "one that is not the oldest is waited for");
+      assertEquals(-1, dawdlers.get(0).getInputStream().read(), "the oldest had to go");
+      for (Socket dawdler : dawdlers) {
+        dawdler.close();
+      }
+    }
+  }
+
+  /** Guards against operators waiting behind the clients' tasks: the loop is held, and then has much to do. */
+  @Test
+  void aCallGoesAheadOfAllThatWaitsOnTheLoop() throws Exception {
+    try (Peers peers = withDoor(1)) {
+      CountDownLatch held = new CountDownLatch(1);
+      CountDownLatch go = new CountDownLatch(1);
+      CountDownLatch answered = new CountDownLatch(1);
+      peers.service.loop().post(() -> {
+        held.countDown();
+        await(go);
+      });
+      held.await();
+      peers.service.loop().post(() -> await(answered)); // what came before the call would never end
+      try (Socket socket = caller(peers)) {
+        int waiting = peers.service.loop().waiting();
+        send(socket, "GET /v1/metrics HTTP/1.1\r\n\r\n");
+        while (peers.service.loop().waiting() <= waiting) {
+          Thread.onSpinWait();
+        }
+        go.countDown();
+        assertEquals("200", answer(socket).status());
+      } finally {
+        answered.countDown();
+      }
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Every ending that a connection can have: what was taken is what ended and what is in set-up. */
+  @Test
+  void eachConnectionIsCountedOnceHoweverItEnds() throws Exception {
+    try (Peers peers = withDoor(1)) {
+      Peer up = peers.client(opening("up", 3000, ""));
+      Peer there = peers.provider(0);
+      there.line();
+      there.send("UP r\r\n");
+      assertEquals("UP r", up.line());
+      check(peers, 1, 0, 0, 1, 1);
+      up.socket.close(); // after UP
+      assertEquals("FIN", there.line());
+      check(peers, 1, 0, 0, 1, 0);
+
+      Peer busy = peers.client(opening("busy", 700, ""));
+      Peer first = peers.provider(0);
+      first.line();
+      first.send("BUSY\r\n");
+      assertTrue(busy.line().startsWith("BUSY"));
+      check(peers, 1, 1, 0, 2, 0);
+
+      Peer unknown = peers.client("OPEN 1 1 c=chat,t=nobody,d=2000,g=1\r\n");
+      assertEquals("ERR", unknown.line());
+      check(peers, 1, 1, 1, 2, 0);
+      Peer malformed = peers.client("OPEN 1\r\n");
+      assertEquals("ERR", malformed.line());
+      check(peers, 1, 1, 1, 2, 0);
+    }
+  }
+
+  @Test
+  void thoseThatLeaveOrDoNotWaitAreCountedOnceToo() throws Exception {
+    try (Peers peers = withDoor(1)) {
+      Peer left = peers.client(opening("left", 3000, ""));
+      Peer called = peers.provider(0);
+      called.line();
+      check(peers, 0, 0, 0, 1, 1);
+      left.reset(); // in set-up
+      assertEquals("FIN", called.line());
+      check(peers, 0, 1, 0, 1, 0);
+
+      Peer eager = peers.client(opening("eager", 3000, ""));
+      Peer again = peers.provider(0);
+      again.line();
+      eager.send("M 1\r\n");
+      assertEquals("ERR", eager.line());
+      check(peers, 0, 1, 1, 2, 0);
+
+      Peer late = peers.client(opening("late", 300, "")); // nobody answers in time
+      peers.provider(0).line();
+      assertTrue(late.line().startsWith("BUSY"));
+      check(peers, 0, 2, 1, 3, 0);
+    }
+  }
+
+  @Test
+  void aStopCountsWhatItRejectsAndIsNotReady() throws Exception {
+    try (Peers peers = withDoor(1)) {
+      Peer owed = peers.client(opening("owed", 8000, ""));
+      peers.provider(0).line();
+      Thread stop = new Thread(peers.service::stop);
+      stop.start();
+      while (!call(peers, "GET /v1/readyz HTTP/1.1\r\n\r\n").status().equals("503")) {
+        Thread.onSpinWait();
+      }
+      JsonNode before = figures(peers);
+      assertEquals(1, before.path("in_flight").asInt());
+      String line = owed.line();
+      assertTrue(line.startsWith("BUSY"), line);
+      stop.join();
+    }
+  }
+
+  private static void check(Peers peers, int served, int refused, int failed, int attempts, int inFlight)
+      throws Exception {
+    JsonNode figures = figures(peers);
+    String all = figures.toString();
+    assertEquals(served, figures.path("served").path("chat").asInt(-1), all);
+    assertEquals(refused, figures.path("refused").path("chat").asInt(-1), all);
+    assertEquals(failed, figures.path("failed").path("chat").asInt(-1), all);
+    assertEquals(attempts, figures.path("attempts").asInt(-1), all);
+    assertEquals(inFlight, figures.path("in_flight").asInt(-1), all);
+    assertEquals(1, figures.path("viewer_hosts_known").asInt(-1), all);
+    assertTrue(figures.path("viewer_hosts_excluded").isInt(), all);
+    assertEquals(figures.path("served").size(), 1, all);
+  }
+}
