Take providers out by hand and call them back as cold ones

Need: maintenance. PUT suspend and resume at the door; the rule on drains holds for such a provider whatever the directory says. The core keeps who is suspended and tells the module, which lists it no more, moves what stands there evenly within 2 s, answers at once when all are out, and on the call back starts from nothing: cold, no strikes, caps or loads, one trial within 2 s at a moment of each proxy's own.

--- a/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
@@ -94,6 +94,12 @@
     owed.remove(request);
   }
 
+  @Override
+  public void suspend(long now, String server) {}
+
+  @Override
+  public void resume(long now, String server) {}
+
   @Override
   public boolean avoids(long now, String server) {
     return false;
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -12,8 +12,10 @@
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Outcomes;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The core: events from the sockets and the clock go in, commands come out, and the balancer decides. It does
@@ -24,9 +26,6 @@
  */
 public final class Core implements Balancer.Actions {
   private static final double MILLI = 1000; // microseconds
-  private static final long HANDOVER_PAUSE = 250_000; // between calls for a connection handed over
-  private static final long HANDOVER_DOUBT = 2_000_000; // a provider unknown or unwilling for this long
-  private static final long HANDOVER_MOST = 40_000_000; // by then it is lost
 
   private final Balancer balancer;
   private final Wheel wheel;
@@ -36,11 +35,13 @@
   private final EventQueue events = new EventQueue();
   private final Calls calls;
   private final Answers answers;
+  private final Handovers handovers;
   private final SilenceWatch silence;
   private final Stopping stopping;
   private Limits limits;
   private Timing timing;
   private final SlotTable<Invocation> invocations = new SlotTable<>();
+  private final Set<String> suspended = new HashSet<>(); // kept apart from what the directory says
   private final Told.Beats beats = new Told.Beats();
 
   /** A core for one balancer, which is started by {@link #start}. */
@@ -55,6 +56,7 @@
     this.telemetry = telemetry;
     calls = new Calls(invocations, wheel, events, commands, counters, telemetry, this::over);
     answers = new Answers(invocations, events, commands, counters, telemetry, balancer);
+    handovers = new Handovers(invocations, wheel, events, answers, calls, () -> this.limits.dial());
     silence = new SilenceWatch(invocations, wheel, events, timing, this::lose);
     stopping = new Stopping(invocations, wheel, events, this::move,
         number -> answers.giveUp(number, invocations.get(number), this.timing.stopAdvice()));
@@ -98,7 +100,7 @@
     counters.outcomes().taken(it.type);
     event(time, () -> {
       long wait = Math.max(0, arrival.waitMillis() * 1000 - timing.answerMargin());
-      long deadline = events.now() + (it.handover == null ? wait : Math.min(wait, HANDOVER_MOST));
+      long deadline = events.now() + (it.handover == null ? wait : Math.min(wait, Handovers.MOST));
       it.request = new Request(number, arrival.type(), arrival.tenant(), arrival.key(), deadline,
           arrival.hint(), arrival.group(), arrival.retry(), arrival.returning());
       it.deadlineTimer = wheel.arm(deadline, at -> deadline(at, number));
@@ -147,14 +149,8 @@
   private void over(long number, Invocation it, Outcome outcome, boolean unwilling) {
     if (it.balanced) {
       balancer.ended(events.now(), number, it.calls - 1, outcome, events.now() - it.callStart, false);
-    } else if (unwilling && events.now() - it.arrived >= HANDOVER_DOUBT) {
-      fail(number); // guards against waiting for a provider that never was, or never had this connection
     } else {
-      wheel.arm(events.now() + HANDOVER_PAUSE, at -> event(at, () -> {
-        if (invocations.get(number) == it && it.phase == Phase.WAITING) {
-          call(number, it, it.handover, it.request.deadline());
-        }
-      }));
+      handovers.again(number, it, unwilling);
     }
   }
 
@@ -364,6 +360,29 @@
     return standing;
   }
 
+  /** Takes a provider out by hand: from now on it gets nothing new, whatever the directory says of it. */
+  public void suspend(long time, String provider) {
+    event(time, () -> {
+      if (suspended.add(provider)) {
+        balancer.suspend(events.now(), provider);
+      }
+    });
+  }
+
+  /** Calls a provider back; one that is not suspended stays as it is. */
+  public void resume(long time, String provider) {
+    event(time, () -> {
+      if (suspended.remove(provider)) {
+        balancer.resume(events.now(), provider);
+      }
+    });
+  }
+
+  /** The providers that are taken out by hand. */
+  public Set<String> suspended() {
+    return Set.copyOf(suspended);
+  }
+
   /** Whether the balancer passes this provider by now. */
   public boolean avoids(long time, String provider) {
     return balancer.avoids(Math.max(time, events.now()), provider);
--- a/proxy/src/main/java/amberhoist/decide/Balancer.java
+++ b/proxy/src/main/java/amberhoist/decide/Balancer.java
@@ -236,6 +236,15 @@
   /** News of the server list, in order and with none skipped. */
   void members(long now, ListKind kind, List<Server> servers);
 
+  /**
+   * A server is taken out by hand: whatever the list says of it, it gets nothing new until {@link #resume}, and what
+   * stands there is moved. Twice out is out once; the server may be unknown so far.
+   */
+  void suspend(long now, String server);
+
+  /** A server taken out is called back, most likely restarted: it is cold, and nothing known of it holds. */
+  void resume(long now, String server);
+
   /** A connection already open on {@code server} at the start; attempt 0 counts as sent and open. */
   void handover(long now, Request request, String server);
 
--- a/proxy/src/main/java/amberhoist/decide/Ledger.java
+++ b/proxy/src/main/java/amberhoist/decide/Ledger.java
@@ -33,6 +33,7 @@
     boolean cold;
     double luck; // how many connections it may hold beyond its due while cold
     double cap = Double.MAX_VALUE;
+    long tryAt = Long.MAX_VALUE; // called back by hand and not proven since: when it gets one connection
     double budget;
     long budgetAt;
 
@@ -42,10 +43,7 @@
   }
 
   /** The affinity entry of a client. */
-  static final class Entry {
-    Node node;
-    long lastUsed;
-  }
+  record Entry(Node node, long lastUsed) {}
 
   /** A group of connections: requests seen, the turn of its walks and its own rotation. */
   static final class Group {
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -16,12 +16,9 @@
 import java.util.Random;
 import java.util.Set;
 
-/**
- * All decisions, by affinity polling. The interface, with every type, event and action, is in Balancer.java.
- *
+/** All decisions, by affinity polling. The interface, with every type, event and action, is in Balancer.java.
  * <p>Read {@link #pick} first: an unexpired affinity entry decides, otherwise the rotation over the ready
- * servers with its load check. {@link #usable} holds the exceptions that pass a server by.
- */
+ * servers with its load check. {@link #usable} holds the exceptions that pass a server by. */
 public final class Policy implements Balancer {
   // Settings. Times in microseconds; parts and multiples have no unit.
   static final long TTL = 60_000_000; // entry lifetime: outlives a client's pauses, not another day's visit
@@ -61,10 +58,11 @@
   static final double WINDOW_LEAST = 2;
   static final double WINDOW_MOST = 100;
   static final double WINDOW_CUT = 0.7; // of the window, when set-ups grow slow
-  static final double WINDOW_SLOW = 1.0; // of the shortest aim: a slower set-up has queued somewhere
   static final double HOLD_PART = 0.5; // of a client's wait that a request may queue: it must still be set up
   static final int LEAST_LOADS = 5; // told of a class before its usual load counts
   static final int LOADS_KEPT = 100; // in that figure: few enough to follow the hours of a day
+  static final long CLEAR = 2_000_000; // a server taken out is clear of its clients by then: it may be restarted
+  static final long BACK_SPREAD = 2_000_000; // within it each balancer tries a server called back, not all at once
   static final long YOUNG = 3_000_000; // a reset before this age is a failed set-up: servers shed the newest
 
   private static final RequestClass UNKNOWN = new RequestClass("", Effect.UNSAFE, Scope.CELL, 0, 0, 1, 0);
@@ -72,6 +70,7 @@
   private final Map<String, Node> nodes = new LinkedHashMap<>();
   private final List<Node> rotation = new ArrayList<>();
   private final Map<String, Entry> entries = new LinkedHashMap<>();
+  private final Map<String, Long> out = new HashMap<>(); // servers taken out by hand, since when
   private final Map<String, Group> groups = new LinkedHashMap<>();
   private final Map<Long, Job> jobs = new LinkedHashMap<>();
   private final Map<String, RequestClass> types = new HashMap<>();
@@ -133,8 +132,7 @@
   private void take(Settings given) {
     settings = given;
     types.clear();
-    shortestAim = Double.MAX_VALUE;
-    setUpAim = Double.MAX_VALUE;
+    shortestAim = setUpAim = Double.MAX_VALUE;
     for (RequestClass type : given.classes()) {
       setUpAim = Math.min(setUpAim, type.aim());
       types.put(type.name(), type);
@@ -185,33 +183,53 @@
     node.info = server.since() < since ? server.as(server.state(), since) : server;
   }
 
-  private void ask(long now) {
-    if (now >= askAt) {
-      askAt = now + LIST_WAIT_MOST;
-      actions.subscribe();
-    }
-  }
-
-  /**
-   * Lists the servers to send to in the same order everywhere; entries bound to others go. Guards against a
-   * wrong list, where only draining binds: servers called gone stay in while one of them has been heard of
-   * since, or no other is left. Whether each of them serves is then for its own set-ups to show.
-   */
+  /** Lists the servers to send to in the same order everywhere; entries bound to others go. Guards against a wrong
+   * list, where only draining binds: servers called gone stay in while one of them has been heard of since, or no other
+   * is left. Whether each of them serves is then for its own set-ups to show. */
   private void rebuild(long now) {
     boolean hint = settings.onlyDrainingBinds();
     boolean doubted = nodes.values().stream().anyMatch(this::contradicted)
         || hint && nodes.values().stream().noneMatch(node -> !node.drained && !gone(node));
-    nodes.values().forEach(node -> node.ready = !node.drained && (doubted || !gone(node)));
+    nodes.values().forEach(node -> node.ready = !node.drained && !out.containsKey(node.info.name())
+        && (doubted || !gone(node)));
     rotation.clear();
     nodes.values().stream().filter(node -> node.ready).forEach(rotation::add);
     rotation.sort(Comparator.comparing(node -> node.info.name()));
     nodes.values().removeIf(node -> !node.ready && node.open == 0 && gone(node)
         && (!hint || now - node.goneAt > TTL));
-    entries.values().removeIf(entry -> !entry.node.ready);
+    entries.values().removeIf(entry -> !entry.node().ready);
     groups.values().forEach(group -> group.order = null);
     weigh(now);
   }
 
+  @Override
+  public void suspend(long now, String server) {
+    out.putIfAbsent(server, now);
+    rebuild(now);
+  }
+
+  /** Called back, a server is a cold one of which nothing is known: most likely it was restarted. */
+  @Override
+  public void resume(long now, String server) {
+    Node old = out.remove(server) == null ? null : nodes.remove(server);
+    if (old != null) {
+      Node node = new Node();
+      nodes.put(server, node);
+      told(now, node, old.info.as(old.info.state(), now));
+      node.budget = 1; // for the trial
+      node.tryAt = now + (long) (random.nextDouble() * BACK_SPREAD);
+      rebuild(now);
+    }
+  }
+
+  /** Guards against clients cut off at a server taken out: they are moved before it is restarted, at an even pace. */
+  private void clear(long now, Job job) {
+    Long since = job.open && !job.moved && job.node.info != null ? out.get(job.node.info.name()) : null;
+    if (since != null && random.nextDouble() * Math.max(1, since + CLEAR - now) < LOOK) {
+      move(job);
+    }
+  }
+
   private boolean gone(Node node) {
     return node.info.state() == State.GONE;
   }
@@ -282,6 +300,8 @@
     long waited = now - job.arrived;
     if (node != null) {
       send(now, job, node, left);
+    } else if (rotation.isEmpty() && !out.isEmpty()) {
+      answer(now, job); // all taken out by hand: nobody comes back soon
     } else if (waited < job.type.aim() || queued && waited < HOLD_PART * (waited + left)) {
       held.add(job);
     } else {
@@ -289,21 +309,17 @@
     }
   }
 
-  /**
-   * Retry throttling. Guards against a storm of set-ups that keeps its own cause alive, as at a shared call:
-   * a failed or late one takes trust, one in time gives some. With little left, only as many as that are out.
-   */
+  /** Retry throttling. Guards against a storm of set-ups that keeps its own cause alive, as at a shared call: a failed
+   * or late one takes trust, one in time gives some. With little left, only as many as that are out. */
   private boolean throttled(long now) {
     trust = Math.min(TRUST_MOST, trust + TRUST_DRIP * (now - trustAt));
     trustAt = now;
     return settingUp >= window || trust < TRUST_MOST / 2 && trust < 1 + settingUp;
   }
 
-  /**
-   * How many set-ups may be out. Guards against all clients coming back at once, as after a restart: what the
-   * shared call cannot take queues there until attempts time out, and each of those was work for nothing. A
-   * request held here instead costs nothing and is set up in its turn.
-   */
+  /** How many set-ups may be out. Guards against all clients coming back at once, as after a restart: what the shared
+   * call cannot take queues there until attempts time out, and each of those was work for nothing. A request held here
+   * instead costs nothing and is set up in its turn. */
   private void learnWindow(long now, boolean slow, long latency) {
     if (!slow) {
       window = Math.min(WINDOW_MOST, window + 1 / window);
@@ -313,16 +329,6 @@
     }
   }
 
-  /** Places those held longest while more set-ups may be out. */
-  private void release(long now) {
-    for (int left = held.size(); left > 0 && !throttled(now); left--) {
-      Job job = held.remove();
-      if (!job.answered) {
-        place(now, job);
-      }
-    }
-  }
-
   /** Rule 5: whether one more attempt beyond a first stays within the budget of the window that ends now. */
   private boolean inBudget(long now) {
     long start = now - settings.budget().over();
@@ -335,18 +341,21 @@
   /** The decision, in order: the unexpired entry, then the rotation with the load check. */
   private Node pick(long now, Job job) {
     Entry entry = job.reset ? null : entries.get(job.request.client());
-    if (entry != null && now - entry.lastUsed < TTL && usable(now, job, entry.node)) {
-      return entry.node;
+    if (entry != null && now - entry.lastUsed() < TTL && usable(now, job, entry.node())) {
+      return entry.node();
+    }
+    for (Node node : rotation) { // one called back is tried soon, whoever is due
+      if (now >= node.tryAt && node.settingUp == 0 && usable(now, job, node)) {
+        return node;
+      }
     }
     return walk(now, job, false);
   }
 
-  /**
-   * The walk: from the turn's start, the first server that is not crowded and passes the load check; else,
-   * unless {@code strict}, the least slow with room. None means: wait. Without a group it goes round the
-   * rotation by the index; with one round the group's homes, from a start that moves on with each request,
-   * and where crossing zones costs anything a home in the own zone goes before one elsewhere.
-   */
+  /** The walk: from the turn's start, the first server that is not crowded and passes the load check; else, unless
+   * {@code strict}, the least slow with room. None means: wait. Without a group it goes round the rotation by the
+   * index; with one round the group's homes, from a start that moves on with each request, and where crossing zones
+   * costs anything a home in the own zone goes before one elsewhere. */
   private Node walk(long now, Job job, boolean strict) {
     List<Node> around = job.group == null ? rotation : homes(now, job);
     int start = job.group == null ? index : start(job, around);
@@ -365,7 +374,7 @@
         if (job.group == null) {
           return checked(now, job, start + step);
         }
-        if (settings.crossZonePrice() <= 0 || near(next)) {
+        if (settings.crossZonePrice() <= 0 || settings.zone().equals(next.info.zone())) {
           return next;
         }
         good = good == null ? next : good;
@@ -386,10 +395,8 @@
     return skip ? after : next;
   }
 
-  /**
-   * A group's homes: the first of an order hashed from it, the same at every balancer, as many as hold
-   * {@code SPREAD} times its part. Guards against every server paying for every group.
-   */
+  /** A group's homes: the first of an order hashed from it, the same at every balancer, as many as hold {@code SPREAD}
+   * times its part. Guards against every server paying for every group. */
   private List<Node> homes(long now, Job job) {
     List<Node> homes = new ArrayList<>();
     double wanted = SPREAD * totalSize * part(job);
@@ -437,18 +444,12 @@
     return -Math.log(Math.max(((mixed ^ mixed >>> 32) >>> 11) / (double) (1L << 53), 1e-15)) / size(node);
   }
 
-  private boolean near(Node node) {
-    return settings.zone().equals(node.info.zone());
-  }
-
   private double size(Node node) {
     return node.info.size() > 0 ? node.info.size() : 1;
   }
 
-  /**
-   * How long messages take at a server, 0 when they are not slow. Guards against a server that nobody has told of since
-   * the own connections there were moved: the first one back is a trial, and more wait for what it tells.
-   */
+  /** How long messages take at a server, 0 when they are not slow. Guards against a server that nobody has told of
+   * since the own connections there were moved: the first one back is a trial, and more wait for what it tells. */
   private double slow(long now, Node node) {
     boolean known = now - Math.max(node.slowAt, node.trialAt) < SLOW_MEMORY;
     return known && node.slow > CROWDED * shortestAim ? node.slow : 0;
@@ -493,8 +494,7 @@
     }
     decay(now);
     double ends = rate * node.weight / (warmSize > 0 ? warmSize : totalSize); // by what those that are warm bear
-    // Guards against a proxy just started, which has seen hardly any connection end, sending next to nothing: what
-    // stands here comes anew within the cold time, since that is in what a cold server can be filled.
+    // A proxy just started has seen hardly any end; but what stands here comes anew within the cold time, if need be.
     double stands = jobs.size() * node.weight / totalSize / settings.coldTime();
     double perMicro = COLD_CAUTION * settings.coldMultiple() * Math.max(ends, stands);
     node.budget = Math.min(Math.max(1, perMicro * settings.coldWindow()),
@@ -512,8 +512,7 @@
 
   /** Sizes at this moment: a cold server counts with the part that it has, in due loads and groups' parts. */
   private void weigh(long now) {
-    totalSize = 0;
-    warmSize = 0;
+    totalSize = warmSize = 0;
     for (Node node : rotation) {
       double warmth = warmth(now, node);
       node.weight = size(node) * warmth;
@@ -548,9 +547,7 @@
 
   private void record(long now, String client, Node node) {
     if (client != null) {
-      Entry entry = entries.computeIfAbsent(client, key -> new Entry());
-      entry.node = node;
-      entry.lastUsed = now;
+      entries.put(client, new Entry(node, now));
     }
   }
 
@@ -598,6 +595,7 @@
     if (job != null && job.out > 0 && !job.open) {
       job.open = true;
       job.openedAt = now;
+      job.node.tryAt = Long.MAX_VALUE;
       trust = Math.max(0, trust + (latency > job.type.aim() ? -1 : TRUST_GAIN));
       heard(now, job.node);
       settingUp--;
@@ -608,8 +606,8 @@
       } else {
         job.node.strikes = Math.max(0, job.node.strikes - 1);
       }
-      learnWindow(now, latency > WINDOW_SLOW * setUpAim, latency);
-      release(now);
+      learnWindow(now, latency > setUpAim, latency); // a slower one has queued somewhere
+      retryHeld(now);
     }
   }
 
@@ -657,13 +655,13 @@
     } else {
       place(now, job);
     }
-    release(now);
+    retryHeld(now);
   }
 
   /** A failed set-up or a broken connection resets the entry, and this request's picks skip the map. */
   private void reset(Job job) {
     job.reset = true;
-    entries.computeIfPresent(job.request.client(), (client, entry) -> entry.node == job.node ? null : entry);
+    entries.computeIfPresent(job.request.client(), (client, entry) -> entry.node() == job.node ? null : entry);
   }
 
   @Override
@@ -685,17 +683,13 @@
     return usual == null || usual.told < LEAST_LOADS ? meanLoad : usual.load;
   }
 
-  /**
-   * Guards against loads expected when little was known, as after a restart: a server with many connections
-   * not told yet then seems to have room beside one with a few that were.
-   */
-  private void expect() {
-    for (Job job : jobs.values()) {
-      if (!job.told && job.out > 0) {
-        double load = usual(job.type);
-        carry(job, load - job.load);
-        job.load = load;
-      }
+  /** Guards against loads expected when little was known, as after a restart: a server with many connections not told
+   * yet then seems to have room beside one with a few that were. */
+  private void expect(Job job) {
+    if (!job.told && job.out > 0) {
+      double load = usual(job.type);
+      carry(job, load - job.load);
+      job.load = load;
     }
   }
 
@@ -711,13 +705,11 @@
     }
   }
 
-  /**
-   * Guards against a crowded server keeping its clients. Delays grow by what is asked of it beyond what it can do, and
+  /** Guards against a crowded server keeping its clients. Delays grow by what is asked of it beyond what it can do, and
    * all balancers hear the same: each moves just its own part of what is too much and lets the rest drain, so that
    * together they neither move too little nor, in step, too many. Those not at home here go first (that frees the
    * group's cost), then the heaviest: where a home has room for them, or anyway when nobody is served here. Amounts
-   * under one connection are chances.
-   */
+   * under one connection are chances. */
   private void relieve(long now, Node node) {
     double slow = slow(now, node);
     if (slow < JAMMED * shortestAim || node.slowAt <= node.relievedAt) {
@@ -775,13 +767,19 @@
     started();
     actions.timer(now + TICK, 0);
     retryHeld(now);
-    ask(now);
+    if (now >= askAt) {
+      askAt = now + LIST_WAIT_MOST;
+      actions.subscribe();
+    }
     if (now < lookAt) {
       return;
     }
     lookAt = now + LOOK;
     weigh(now);
-    expect();
+    for (Job job : jobs.values()) {
+      expect(job);
+      clear(now, job);
+    }
     for (Node node : rotation) {
       relieve(now, node);
       node.slow = node.open > 0 && slow(now, node) == 0 ? 0 : node.slow;
@@ -794,7 +792,7 @@
     if (now >= nextSweep) {
       nextSweep = now + SWEEP;
       inBudget(now); // lets go of what has left the window
-      entries.values().removeIf(entry -> now - entry.lastUsed >= TTL);
+      entries.values().removeIf(entry -> now - entry.lastUsed() >= TTL);
       groups.values().forEach(group -> group.seen *= GROUPS_KEPT);
       seen *= GROUPS_KEPT;
       groups.values().removeIf(group -> group.seen < 0.5);
--- a/proxy/src/main/java/amberhoist/mgmt/Routes.java
+++ b/proxy/src/main/java/amberhoist/mgmt/Routes.java
@@ -1,5 +1,6 @@
 package amberhoist.mgmt;
 
+import amberhoist.mgmt.Operations.Verdict;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -23,6 +24,14 @@
     if (path.equals(List.of("v1", "metrics"))) {
       return allowed(call, "GET", () -> operations.figures().thenApply(figures -> Answer.yes(figures.json())));
     }
+    if (path.size() == 4 && path.subList(0, 2).equals(List.of("v1", "viewer-hosts"))) {
+      if (path.get(3).equals("suspend")) {
+        return allowed(call, "PUT", () -> operations.suspend(path.get(2)).thenApply(Routes::said));
+      }
+      if (path.get(3).equals("resume")) {
+        return allowed(call, "PUT", () -> operations.resume(path.get(2)).thenApply(Routes::said));
+      }
+    }
     return CompletableFuture.completedFuture(Answer.no(404, "Not Found", "no such path"));
   }
 
@@ -34,4 +43,11 @@
     return call.method().equals(method) ? asking.ask()
         : CompletableFuture.completedFuture(Answer.notAllowed(method));
   }
+
+  private static Answer said(Verdict verdict) {
+    return switch (verdict) {
+      case DONE -> Answer.yes("{\"done\":true}");
+      case UNKNOWN -> Answer.no(404, "Not Found", "no viewer host has this id");
+    };
+  }
 }
--- a/proxy/src/main/java/amberhoist/service/Desk.java
+++ b/proxy/src/main/java/amberhoist/service/Desk.java
@@ -3,6 +3,8 @@
 import amberhoist.core.Core;
 import amberhoist.decide.Balancer.Server;
 import amberhoist.directory.AddressBook;
+import amberhoist.log.Event;
+import amberhoist.log.EventLog;
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Outcomes;
 import amberhoist.metrics.Outcomes.Outcome;
@@ -21,14 +23,17 @@
   private final AddressBook addresses;
   private final Counters counters;
   private final BooleanSupplier stopping;
+  private final EventLog log;
 
   /** A desk for this core; {@code stopping} is asked on the loop's thread. */
-  Desk(Loop loop, Core core, AddressBook addresses, Counters counters, BooleanSupplier stopping) {
+  Desk(Loop loop, Core core, AddressBook addresses, Counters counters, BooleanSupplier stopping,
+      EventLog log) {
     this.loop = loop;
     this.core = core;
     this.addresses = addresses;
     this.counters = counters;
     this.stopping = stopping;
+    this.log = log;
   }
 
   private <T> CompletableFuture<T> asked(Supplier<T> question) {
@@ -49,6 +54,36 @@
         : addresses.listed().isEmpty() ? "it has no list of viewer hosts" : "");
   }
 
+  /** Whether anybody has this id: the directory lists it, or it was taken out and has left since. */
+  private boolean known(String provider) {
+    return core.suspended().contains(provider)
+        || addresses.listed().stream().anyMatch(server -> server.name().equals(provider));
+  }
+
+  @Override
+  public CompletableFuture<Verdict> suspend(String provider) {
+    return asked(() -> {
+      if (!known(provider)) {
+        return Verdict.UNKNOWN;
+      }
+      core.suspend(loop.now(), provider);
+      log.tell(Event.PROVIDER_SUSPENDED, "taken out by an operator", "provider", provider);
+      return Verdict.DONE;
+    });
+  }
+
+  @Override
+  public CompletableFuture<Verdict> resume(String provider) {
+    return asked(() -> {
+      if (!known(provider)) {
+        return Verdict.UNKNOWN;
+      }
+      core.resume(loop.now(), provider);
+      log.tell(Event.PROVIDER_RESUMED, "called back by an operator", "provider", provider);
+      return Verdict.DONE;
+    });
+  }
+
   @Override
   public CompletableFuture<Figures> figures() {
     return asked(() -> {
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -161,7 +161,7 @@
   private void openDoor() throws IOException {
     InetSocketAddress address = setup.config().mgmt();
     if (address != null) {
-      door = new Door(address, new Routes(new Desk(loop, core, addresses, counters, () -> stopping)),
+      door = new Door(address, new Routes(new Desk(loop, core, addresses, counters, () -> stopping, log)),
           fault -> log.tell(Event.DOOR_FAILED, "a caller could not be taken in", "why", fault));
       log.tell(Event.DOOR_LISTENS, "operators are answered", "address", door.address());
     }
--- a/proxy/src/test/java/amberhoist/service/DoorStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/DoorStoriesTest.java
@@ -213,6 +213,51 @@
     }
   }
 
+  private static String put(Peers peers, String id, String what) throws Exception {
+    return call(peers, "PUT /v1/viewer-hosts/" + id + "/" + what + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n").status();
+  }
+
+  @Test
+  void aSuspendedProviderIsClearedAndPassedByUntilItIsCalledBack() throws Exception {
+    try (Peers peers = withDoor(2)) {
+      Peer[] standing = peers.joined("a", 0);
+      Peer watch = peers.watchTelling(peers.list(2, true));
+      assertEquals("404", put(peers, "p9", "suspend"));
+      assertEquals("404", put(peers, "p9", "resume"));
+      assertEquals("200", put(peers, "p%30", "suspend"));
+      assertEquals("200", put(peers, "p0", "suspend"));
+      assertEquals(1, figures(peers).path("viewer_hosts_excluded").asInt());
+      assertEquals("MOVE", standing[0].line());
+      assertEquals("FIN", standing[0].line());
+      assertEquals("FIN", standing[1].line());
+      watch.send(Peers.chunk(peers.list(3, false, "active"))); // whatever the directory says
+      watch.send(Peers.chunk(peers.list(4, true)));
+      for (int i = 0; i < 6; i++) {
+        peers.client(opening("k" + i, 3000, ""));
+        assertTrue(peers.provider(1).send("UP 1\r\n").line().startsWith("OPEN"));
+      }
+      assertEquals("200", put(peers, "p0", "resume"));
+      assertEquals(0, figures(peers).path("viewer_hosts_excluded").asInt());
+      CountDownLatch used = new CountDownLatch(1);
+      Thread waiting = new Thread(() -> {
+        try {
+          peers.provider(0);
+          used.countDown();
+        } catch (Exception none) {
+          // the story fails below
+        }
+      });
+      waiting.start();
+      long end = System.nanoTime() + Peers.PATIENCE * 1_000_000L;
+      for (int i = 0; used.getCount() > 0; i++) { // clients go on coming
+        peers.client(opening("back" + i, 3000, ""));
+        assertTrue(System.nanoTime() < end, "never used again");
+        used.await(100, java.util.concurrent.TimeUnit.MILLISECONDS);
+      }
+      assertEquals("200", put(peers, "p0", "resume"), "not suspended, but known");
+    }
+  }
+
   private static void check(Peers peers, int served, int refused, int failed, int attempts, int inFlight)
       throws Exception {
     JsonNode figures = figures(peers);
