Start a new version beside the old one: shared address, one record in TMPDIR, hand-over

The client address is opened with SO_REUSEPORT where mgmt is given. Both processes keep one versioned record in TMPDIR, replaced atomically under a file lock by a thread of its own: suspensions, and of each process whether it serves and what descriptors it holds. A call at either door is kept first, then holds for both; what cannot be kept gets a no. At SIGTERM with a ready successor the old process takes in its accept queue, closes the listener and moves its clients from then on, evenly. Heap for two in serve.sh.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -3,19 +3,27 @@
 # what the runtime itself takes (classes, code, threads) is about 24 MB of it. Under LB_CONFIG, as `serve` reads it.
 # It forks nothing: whoever started this sends signals to this very process, which becomes the proxy.
 mb=192
+mgmt=${LB_MGMT:-}
 if [ -r "${LB_CONFIG:-}" ]; then
+  found=
   while IFS= read -r line || [ -n "$line" ]; do
+    case $line in
+      *'"mgmt"'*) mgmt=${mgmt:-given} ;;
+    esac
     case $line in
       *'"memory_mb"'*)
         line=${line#*'"memory_mb"'}
         line=${line#"${line%%[0-9]*}"}
         line=${line%%[!0-9]*}
         mb=${line:-$mb}
-        break
+        found=yes
         ;;
     esac
+    [ -z "$found" ] || [ -z "$mgmt" ] || break
   done <"$LB_CONFIG"
 fi
+# Where operators have a door they start a new version beside the old one: the two share the memory.
+[ -z "$mgmt" ] || mb=$((mb / 2))
 heap=$(((mb - 24) / 2))
 [ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 8 ] || heap=8
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -81,7 +81,7 @@
       gone.run();
       return;
     }
-    core.stop(world.time.now(), () -> {
+    core.stop(world.time.now(), false, () -> {
       if (life == ofLife && alive) {
         alive = false;
         cutAll();
--- a/proxy/src/main/java/amberhoist/config/Config.java
+++ b/proxy/src/main/java/amberhoist/config/Config.java
@@ -26,9 +26,11 @@
  * @param known the directory's list as this proxy last had it
  * @param limits what the core keeps to
  * @param mgmt where operators call, null for nowhere
+ * @param shared the folder that the processes of an upgrade share, null for none
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-    int sockets, News known, Settings settings, Limits limits, InetSocketAddress mgmt) {
+    int sockets, News known, Settings settings, Limits limits, InetSocketAddress mgmt,
+    Path shared) {
   private static final int SOCKETS = 1024;
   private static final long DIAL = 250_000;
   private static final long LONGEST = 3_000_000;
@@ -59,7 +61,7 @@
 
   /** The same with another limit of descriptors. */
   Config withSockets(int descriptors) {
-    return new Config(name, listen, discovery, seed, descriptors, known, settings, limits, mgmt);
+    return new Config(name, listen, discovery, seed, descriptors, known, settings, limits, mgmt, shared);
   }
 
   private static Config read(JsonParser in, Map<String, String> environment, Clock clock) throws IOException {
@@ -111,7 +113,11 @@
         seed == null ? System.nanoTime() : Long.parseUnsignedLong(seed, 16), sockets, known, read,
         new Limits(settings.whole("limits.dial-timeout", DIAL), longest == 0 ? LONGEST : longest,
             settings.names("lanes"), settings.names("tenants")),
-        mgmt == null || mgmt.isEmpty() ? null : Address.parse(mgmt));
+        mgmt == null || mgmt.isEmpty() ? null : Address.parse(mgmt), shared(environment.get("TMPDIR")));
+  }
+
+  private static Path shared(String folder) {
+    return folder == null || folder.isEmpty() ? null : Path.of(folder);
   }
 
   private static void require(boolean holds, String fault) {
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -342,10 +342,11 @@
   /**
    * Stops in good order, see {@link Stopping}.
    *
+   * @param succeeded whether another process serves in this one's place already
    * @param done is run when nothing is owed and nobody is joined any more
    */
-  public void stop(long time, Runnable done) {
-    event(time, () -> stopping.begin(time, limits.longest(), timing, done));
+  public void stop(long time, boolean succeeded, Runnable done) {
+    event(time, () -> stopping.begin(time, limits.longest(), timing, succeeded, done));
   }
 
   /** How many invocations are joined to each provider, by its name. */
@@ -360,21 +361,14 @@
     return standing;
   }
 
-  /** Takes a provider out by hand: from now on it gets nothing new, whatever the directory says of it. */
-  public void suspend(long time, String provider) {
+  /** These providers are taken out by hand from now on, whatever the directory says, and no others. */
+  public void suspend(long time, Set<String> providers) {
     event(time, () -> {
-      if (suspended.add(provider)) {
-        balancer.suspend(events.now(), provider);
-      }
-    });
-  }
-
-  /** Calls a provider back; one that is not suspended stays as it is. */
-  public void resume(long time, String provider) {
-    event(time, () -> {
-      if (suspended.remove(provider)) {
-        balancer.resume(events.now(), provider);
-      }
+      Set.copyOf(suspended).stream().filter(name -> !providers.contains(name)).forEach(name -> {
+        suspended.remove(name);
+        balancer.resume(events.now(), name);
+      });
+      providers.stream().filter(suspended::add).forEach(name -> balancer.suspend(events.now(), name));
     });
   }
 
--- a/proxy/src/main/java/amberhoist/core/Stopping.java
+++ b/proxy/src/main/java/amberhoist/core/Stopping.java
@@ -9,7 +9,8 @@
  * A stop in good order: serves on while the front may still send here, then moves all standing clients at an
  * even pace, so that they do not all come back to the others at once, and rejects what still arrives. The
  * moves begin late: where proxies are restarted in turn, the one before may only just be starting, and a
- * client that nobody takes in is worse off than one that stays.
+ * client that nobody takes in is worse off than one that stays. Where another process serves in this one's place
+ * already they begin at once, and take all the time there is.
  */
 final class Stopping {
   private static final long STEP = 20_000; // between steps of moving clients
@@ -24,6 +25,7 @@
   private final LongConsumer giveUp;
   private boolean refusing;
   private Runnable stopped;
+  private double due; // moves that have not come to a whole one yet
 
   /** A stop that moves and gives up invocations in these ways. */
   Stopping(SlotTable<Invocation> invocations, Wheel wheel, EventQueue events, LongConsumer move,
@@ -41,13 +43,15 @@
   }
 
   /** Begins; {@code done} is run when nothing is owed and nobody is joined any more. */
-  void begin(long time, long deadlines, Timing timing, Runnable done) {
+  void begin(long time, long deadlines, Timing timing, boolean succeeded,
+      Runnable done) {
     if (stopped != null) {
       return;
     }
     stopped = done;
     long longest = Math.min(deadlines, timing.stopLongest());
-    long hold = Math.max(timing.stopRouted(), Math.min(timing.stopHold(), (long) (HOLD_PART * longest)));
+    long hold = succeeded ? 0
+        : Math.max(timing.stopRouted(), Math.min(timing.stopHold(), (long) (HOLD_PART * longest)));
     long end = time + longest + TAIL;
     wheel.arm(time + timing.stopRouted(), at -> events.run(at, () -> refusing = true));
     wheel.arm(time + hold, at -> step(at, Math.min(end, time + LEAST), end));
@@ -60,7 +64,9 @@
       invocations.forEach(n -> (invocations.get(n).phase == Phase.UP ? joined : owed).add(n));
       boolean last = events.now() + STEP >= end;
       long steps = Math.max(1, (end - events.now()) / STEP);
-      long moves = last ? joined.size() : (joined.size() + steps - 1) / steps;
+      due += (double) joined.size() / steps;
+      long moves = last ? joined.size() : (long) due;
+      due -= moves;
       joined.stream().limit(moves).forEach(move::accept);
       if (last) {
         owed.forEach(giveUp::accept);
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -28,6 +28,7 @@
   MODULE_SAID(Level.INFO, true, "the decision module has something to say"),
   DOOR_LISTENS(Level.INFO, false, "operators are answered there", "address"),
   DOOR_FAILED(Level.WARN, true, "a caller of the operators' door could not be taken in", "why"),
+  UPGRADE_FAILED(Level.WARN, true, "what the processes of an upgrade share in $TMPDIR cannot be read or kept", "why"),
   ADMIN_LISTENS(Level.INFO, false, "the admin socket answers", "address"),
   ADMIN_FAILED(Level.WARN, true, "a question on the admin socket could not be answered", "why"),
   LOOP_FAULT(Level.ERROR, true, "a task on the loop failed; the loop goes on", "why"),
--- a/proxy/src/main/java/amberhoist/mgmt/Operations.java
+++ b/proxy/src/main/java/amberhoist/mgmt/Operations.java
@@ -9,7 +9,9 @@
     /** It holds from now on. */
     DONE,
     /** Nobody has this id. */
-    UNKNOWN
+    UNKNOWN,
+    /** It could not be kept for a process that takes over, so it does not hold. */
+    NOT_KEPT
   }
 
   /** Why this process is not ready to serve; empty when it is. */
--- a/proxy/src/main/java/amberhoist/mgmt/Routes.java
+++ b/proxy/src/main/java/amberhoist/mgmt/Routes.java
@@ -48,6 +48,7 @@
     return switch (verdict) {
       case DONE -> Answer.yes("{\"done\":true}");
       case UNKNOWN -> Answer.no(404, "Not Found", "no viewer host has this id");
+      case NOT_KEPT -> Answer.no(503, "Service Unavailable", "it cannot be kept in $TMPDIR, so it was not done");
     };
   }
 }
--- a/proxy/src/main/java/amberhoist/net/Acceptor.java
+++ b/proxy/src/main/java/amberhoist/net/Acceptor.java
@@ -12,12 +12,16 @@
 
 /** Accepts connections for one front, as far as there are descriptors for them. */
 public final class Acceptor {
+  private static final long LAST_ACCEPTS = 20_000; // what waits is taken in within some ticks
+
   private final Loop loop;
   private final Lobby lobby;
   private final Counters counters;
   private final Consumer<AsynchronousSocketChannel> front;
   private SocketLimits limits;
   private AsynchronousServerSocketChannel server;
+  private boolean paused; // connections wait, for want of descriptors
+  private boolean leaving;
 
   private final CompletionHandler<AsynchronousSocketChannel, Void> accepted = new CompletionHandler<>() {
     @Override
@@ -35,6 +39,7 @@
         // Out of descriptors, mostly: the loop of accepts must outlive that.
         loop.run(() -> {
           counters.add(Count.ACCEPT_FAILED);
+          paused = true;
           acceptLater();
         });
       }
@@ -56,11 +61,16 @@
     limits = others;
   }
 
-  /** Listens, and accepts from now on. */
-  public void open(InetSocketAddress listen) throws IOException {
+  /** Listens, and accepts from now on; where it is shared, other processes may listen on the same address. */
+  public void open(InetSocketAddress listen, boolean shared) throws IOException {
     server = AsynchronousServerSocketChannel.open(loop.group());
     server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-    server.bind(listen, limits.backlog());
+    server.setOption(StandardSocketOptions.SO_REUSEPORT, shared);
+    try {
+      server.bind(listen, limits.backlog());
+    } catch (IOException fault) {
+      throw new IOException("cannot listen for clients on " + listen + ": " + fault.getMessage(), fault);
+    }
     accept();
   }
 
@@ -69,11 +79,24 @@
     return (InetSocketAddress) server.getLocalAddress();
   }
 
+  /**
+   * Leaves the address to another process that listens there: takes in all that waits, also where descriptors run
+   * short, and then closes. Whatever still waited at the close would be reset.
+   */
+  public void leave() {
+    leaving = true;
+    if (paused) {
+      accept();
+    }
+    loop.wheel().arm(loop.now() + LAST_ACCEPTS, at -> close());
+  }
+
   private void accept() {
     if (!server.isOpen()) {
       return;
     }
-    if (lobby.room(1)) {
+    paused = !leaving && !lobby.room(1);
+    if (!paused) {
       server.accept(null, accepted);
     } else {
       acceptLater(); // better off waiting in the backlog than cut off for want of descriptors
@@ -81,7 +104,11 @@
   }
 
   private void acceptLater() {
-    loop.wheel().arm(loop.now() + limits.acceptPause(), at -> accept());
+    loop.wheel().arm(loop.now() + limits.acceptPause(), at -> {
+      if (paused) {
+        accept();
+      }
+    });
   }
 
   /** Stops accepting. */
--- a/proxy/src/main/java/amberhoist/net/Lobby.java
+++ b/proxy/src/main/java/amberhoist/net/Lobby.java
@@ -83,7 +83,8 @@
     return served() + SPARE > most;
   }
 
-  private int held() {
+  /** How many descriptors are held, with those that clients will want. */
+  public int held() {
     return fresh.size() + ending.size() + served();
   }
 
--- a/proxy/src/main/java/amberhoist/service/Desk.java
+++ b/proxy/src/main/java/amberhoist/service/Desk.java
@@ -11,6 +11,8 @@
 import amberhoist.mgmt.Figures;
 import amberhoist.mgmt.Operations;
 import amberhoist.net.Loop;
+import amberhoist.upgrade.Handover;
+import amberhoist.upgrade.Succession;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -24,16 +26,18 @@
   private final Counters counters;
   private final BooleanSupplier stopping;
   private final EventLog log;
+  private final Succession succession;
 
-  /** A desk for this core; {@code stopping} is asked on the loop's thread. */
+  /** A desk for this core; {@code stopping} is asked on the loop's thread, {@code succession} null for none. */
   Desk(Loop loop, Core core, AddressBook addresses, Counters counters, BooleanSupplier stopping,
-      EventLog log) {
+      EventLog log, Succession succession) {
     this.loop = loop;
     this.core = core;
     this.addresses = addresses;
     this.counters = counters;
     this.stopping = stopping;
     this.log = log;
+    this.succession = succession;
   }
 
   private <T> CompletableFuture<T> asked(Supplier<T> question) {
@@ -62,25 +66,31 @@
 
   @Override
   public CompletableFuture<Verdict> suspend(String provider) {
-    return asked(() -> {
-      if (!known(provider)) {
-        return Verdict.UNKNOWN;
-      }
-      core.suspend(loop.now(), provider);
-      log.tell(Event.PROVIDER_SUSPENDED, "taken out by an operator", "provider", provider);
-      return Verdict.DONE;
-    });
+    return command(provider, true, Event.PROVIDER_SUSPENDED, "taken out by an operator");
   }
 
   @Override
   public CompletableFuture<Verdict> resume(String provider) {
-    return asked(() -> {
-      if (!known(provider)) {
-        return Verdict.UNKNOWN;
+    return command(provider, false, Event.PROVIDER_RESUMED, "called back by an operator");
+  }
+
+  /** Kept first, for a process that takes over, and done then: a yes must hold over an upgrade. */
+  private CompletableFuture<Verdict> command(String provider, boolean out, Event event, String message) {
+    return asked(() -> known(provider)).thenCompose(known -> known ? done(provider, out).thenApply(done -> {
+      if (done) {
+        log.tell(event, message, "provider", provider);
       }
-      core.resume(loop.now(), provider);
-      log.tell(Event.PROVIDER_RESUMED, "called back by an operator", "provider", provider);
-      return Verdict.DONE;
+      return done ? Verdict.DONE : Verdict.NOT_KEPT;
+    }) : CompletableFuture.completedFuture(Verdict.UNKNOWN));
+  }
+
+  private CompletableFuture<Boolean> done(String provider, boolean out) {
+    if (succession != null) {
+      return succession.suspend(provider, out);
+    }
+    return asked(() -> {
+      core.suspend(loop.now(), new Handover(core.suspended(), List.of()).with(provider, out).suspended());
+      return true;
     });
   }
 
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -29,6 +29,7 @@
 import amberhoist.net.Lobby;
 import amberhoist.net.Loop;
 import amberhoist.net.Transport;
+import amberhoist.upgrade.Succession;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -66,6 +67,8 @@
   private volatile Setup setup;
   private volatile AdminSocket admin;
   private volatile Door door;
+  private volatile Succession succession;
+  private int elsewhere; // descriptors held by other processes of this proxy; of the loop's thread
   private List<String> restartNeeded = List.of(); // of the loop's thread
   private boolean stopping; // of the loop's thread
   private InetSocketAddress watched; // of the loop's thread
@@ -108,7 +111,14 @@
 
   private void limit(Setup by) {
     int own = OWN_DESCRIPTORS + (by.config().mgmt() == null ? 0 : Door.DESCRIPTORS);
-    lobby.limit(Math.max(LEAST_DESCRIPTORS, by.config().sockets() - own));
+    int all = by.config().sockets();
+    if (elsewhere > 0) { // each process of an upgrade may take half of what neither holds
+      all = own + lobby.held() + Math.max(0, all - elsewhere - own - lobby.held()) / 2;
+    }
+    lobby.limit(Math.max(LEAST_DESCRIPTORS, all - own));
+    if (succession != null) {
+      succession.holds(own + lobby.held());
+    }
     counters.outcomes().classes(by.config().settings().classes().stream().map(RequestClass::name).toList());
     clients.limits(by.operator().lineLimits(), by.config().settings().maxRetryAfter());
   }
@@ -122,22 +132,35 @@
   public static Service start(Setup setup) throws IOException {
     Service service = new Service(setup);
     Config config = setup.config();
-    CompletableFuture<Void> open = new CompletableFuture<>();
+    CompletableFuture<Void> known = new CompletableFuture<>();
     service.loop.post(() -> {
       try {
         service.addresses.update(config.known());
         service.core.start(service.loop.now(), config.settings(), config.seed(), config.known().providers());
         service.directory.ensure();
-        service.acceptor.open(config.listen());
-        service.servesSince = service.loop.now();
-        service.tellSuppressed();
-        open.complete(null);
-      } catch (IOException | RuntimeException fault) {
-        open.completeExceptionally(fault);
+        known.complete(null);
+      } catch (RuntimeException fault) {
+        known.completeExceptionally(fault);
       }
     });
+    CompletableFuture<Void> open = new CompletableFuture<>();
     try {
+      known.get();
+      service.joinOthers();
+      service.loop.post(() -> {
+        try {
+          service.acceptor.open(config.listen(), config.mgmt() != null);
+          service.servesSince = service.loop.now();
+          service.tellSuppressed();
+          open.complete(null);
+        } catch (IOException | RuntimeException fault) {
+          open.completeExceptionally(fault);
+        }
+      });
       open.get();
+      if (service.succession != null) {
+        service.succession.ready().join(); // before anybody is told so
+      }
       service.listenToOperators();
       service.openDoor();
       InetSocketAddress address = service.address();
@@ -145,10 +168,25 @@
       return service;
     } catch (InterruptedException | ExecutionException | IOException fault) {
       service.kill();
-      throw new IOException(fault.getMessage(), fault);
+      Throwable cause = fault instanceof ExecutionException ? fault.getCause() : fault;
+      throw new IOException(cause.getMessage(), cause);
     }
   }
 
+  /** Where an upgrade may come: the processes of this proxy share what was taken out, and the descriptors. */
+  private void joinOthers() {
+    Config config = setup.config();
+    if (config.mgmt() == null || config.shared() == null) {
+      return;
+    }
+    succession = new Succession(config.shared(), new Sharing(loop, core, descriptors -> {
+      elsewhere = descriptors;
+      limit(setup);
+    }), why -> log.tell(Event.UPGRADE_FAILED, "what is kept for another process cannot be kept", "why", why));
+    succession.holds(OWN_DESCRIPTORS + Door.DESCRIPTORS);
+    succession.join();
+  }
+
   private void listenToOperators() throws IOException {
     Operator.Admin keys = setup.operator().admin();
     SocketAddress address = AdminAddress.parse(keys.listen());
@@ -161,7 +199,8 @@
   private void openDoor() throws IOException {
     InetSocketAddress address = setup.config().mgmt();
     if (address != null) {
-      door = new Door(address, new Routes(new Desk(loop, core, addresses, counters, () -> stopping, log)),
+      door = new Door(address, new Routes(new Desk(loop, core, addresses, counters, () -> stopping, log,
+          succession)),
           fault -> log.tell(Event.DOOR_FAILED, "a caller could not be taken in", "why", fault));
       log.tell(Event.DOOR_LISTENS, "operators are answered", "address", door.address());
     }
@@ -249,10 +288,14 @@
 
   /** Stops in good order; returns when all is closed. */
   public void stop() {
-    log.tell(Event.PROXY_STOPS, "told to end");
+    boolean succeeded = succession != null && succession.succeeded();
+    log.tell(Event.PROXY_STOPS, succeeded ? "told to end, another process serves in its place" : "told to end");
     loop.post(() -> {
       stopping = true;
-      core.stop(loop.now(), () -> loop.wheel().arm(loop.now() + CLOSING, at -> {
+      if (succeeded) {
+        acceptor.leave();
+      }
+      core.stop(loop.now(), succeeded, () -> loop.wheel().arm(loop.now() + CLOSING, at -> {
         acceptor.close();
         transport.close();
         directory.close();
@@ -277,6 +320,9 @@
     if (door != null) {
       door.close();
     }
+    if (succession != null) {
+      succession.close();
+    }
     loop.close();
     asks.forEach(ask -> ask.completeExceptionally(new IllegalStateException("the proxy has stopped")));
   }
--- a/proxy/src/test/java/amberhoist/cli/DeployTest.java
+++ b/proxy/src/test/java/amberhoist/cli/DeployTest.java
@@ -34,6 +34,8 @@
     assertTrue(command("{\"memory_mb\": 96.5}").startsWith("-Xmx36m "));
     assertTrue(command("{\"memory_mb\":2048}").startsWith("-Xmx64m "));
     assertTrue(command("{}").startsWith("-Xmx64m "));
+    assertTrue(command("{},\"mgmt\":\"127.0.0.1:1\"").startsWith("-Xmx36m ")); // two share it
+    assertTrue(command("{\"memory_mb\":144},\n\"mgmt\":\"127.0.0.1:1\"").startsWith("-Xmx24m "));
   }
 
   /** Guards against dual-stack sockets, which a platform that knows IPv4 only refuses: nothing would come up. */
--- /dev/null
+++ b/proxy/src/test/java/amberhoist/service/UpgradeStoriesTest.java
@@ -0,0 +1,141 @@
+package amberhoist.service;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import amberhoist.clock.Clock;
+import amberhoist.config.Config;
+import amberhoist.service.Peers.Peer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Stories of a new version started beside the old one, on the same address and with the same folder. */
+@Timeout(90)
+class UpgradeStoriesTest {
+  @TempDir
+  Path folder;
+
+  /** One of the two: its configuration is that of the peers, but for where it listens. */
+  private Service start(Peers peers, int port) throws Exception {
+    Path file = folder.resolve("config.json");
+    Files.writeString(file, peers.config(peers.directory));
+    return Service.start(Config.load(Map.of("LB_CONFIG", file.toString(), "LB_LISTEN", "127.0.0.1:" + port,
+        "LB_MGMT", "127.0.0.1:0", "TMPDIR", folder.toString()), new Clock()));
+  }
+
+  private static int freePort() throws Exception {
+    try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return any.getLocalPort();
+    }
+  }
+
+  private static String call(Service service, String method, String path) throws Exception {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), service.doorAddress().getPort())) {
+      socket.setSoTimeout(Peers.PATIENCE);
+      socket.getOutputStream().write((method + ' ' + path + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  private static JsonNode figures(Service service) throws Exception {
+    String answer = call(service, "GET", "/v1/metrics");
+    return new ObjectMapper().readTree(answer.substring(answer.indexOf("\r\n\r\n")));
+  }
+
+  private static Peer client(int port, String text) throws Exception {
+    return new Peer(new Socket(InetAddress.getLoopbackAddress(), port)).send(text);
+  }
+
+  @Test
+  void clientsAreMovedAtOnceToASuccessorAndTheListenerIsItsAlone() throws Exception {
+    try (Peers peers = new Peers(1)) {
+      int port = freePort();
+      Service old = start(peers, port);
+      List<Peer> standing = new ArrayList<>();
+      for (int i = 0; i < 30; i++) {
+        Peer client = client(port, Peers.opening("s" + i, 9000, ",at=p0"));
+        Peer there = peers.provider(0);
+        there.line();
+        there.send("UP r\r\n");
+        assertEquals("UP r", client.line());
+        standing.add(client);
+      }
+      Service fresh = start(peers, port);
+      assertTrue(call(fresh, "GET", "/v1/readyz").startsWith("HTTP/1.1 200"));
+      Thread stop = new Thread(old::stop);
+      stop.start();
+      for (Peer client : standing) {
+        assertEquals("MOVE", client.line());
+        assertEquals("FIN", client.line());
+        client.socket.close();
+        Peer again = client(port, "PING\r\n"); // the listener of the old one is closed, or serves
+        assertEquals("PONG", again.line());
+        again.socket.close();
+      }
+      stop.join();
+      for (int i = 0; i < 20; i++) {
+        assertEquals("PONG", client(port, "PING\r\n").line());
+      }
+      fresh.kill();
+    }
+  }
+
+  @Test
+  void aCallAtEitherDoorCountsForBothAndForWhoComesAfter() throws Exception {
+    try (Peers peers = new Peers(2)) {
+      int port = freePort();
+      Service old = start(peers, port);
+      assertTrue(call(old, "PUT", "/v1/viewer-hosts/p0/suspend").startsWith("HTTP/1.1 200"));
+      Service fresh = start(peers, port);
+      assertEquals(1, figures(fresh).path("viewer_hosts_excluded").asInt(), "known from the start on");
+      assertTrue(call(fresh, "PUT", "/v1/viewer-hosts/p1/suspend").startsWith("HTTP/1.1 200"));
+      while (figures(old).path("viewer_hosts_excluded").asInt() != 2) {
+        Thread.onSpinWait();
+      }
+      assertTrue(call(old, "PUT", "/v1/viewer-hosts/p0/resume").startsWith("HTTP/1.1 200"));
+      while (figures(fresh).path("viewer_hosts_excluded").asInt() != 1) {
+        Thread.onSpinWait();
+      }
+      old.kill();
+      fresh.kill();
+      Service last = start(peers, port);
+      assertEquals(1, figures(last).path("viewer_hosts_excluded").asInt());
+      last.kill();
+    }
+  }
+
+  @Test
+  void aSuspensionThatCannotBeKeptGetsANoAndDoesNotHold() throws Exception {
+    try (Peers peers = new Peers(1)) {
+      Service service = start(peers, freePort());
+      Files.writeString(folder.resolve("amberhoist.handover"), "{\"version\":99}");
+      assertTrue(call(service, "PUT", "/v1/viewer-hosts/p0/suspend").startsWith("HTTP/1.1 503"));
+      assertEquals(0, figures(service).path("viewer_hosts_excluded").asInt());
+      service.kill();
+    }
+  }
+
+  @Test
+  void aFolderThatIsNotThereCostsNoStart() throws Exception {
+    try (Peers peers = new Peers(1)) {
+      Path file = folder.resolve("config.json");
+      Files.writeString(file, peers.config(peers.directory));
+      Service service = Service.start(Config.load(Map.of("LB_CONFIG", file.toString(), "LB_MGMT", "127.0.0.1:0",
+          "TMPDIR", folder.resolve("nowhere").toString()), new Clock()));
+      assertTrue(call(service, "GET", "/v1/readyz").startsWith("HTTP/1.1 200"));
+      service.kill();
+    }
+  }
+}
