Share the window of set-ups among all proxies, and hand clients' bindings to a successor

Seen, with each proxy's state logged once a second: from 7 s on, 80 proxies each keep about one set-up out (window at its least, 2, trust falling only with each one's own failures, and 20 again in whoever restarts); 200 calls a second time out or end in ERR, 3 to 8 a second stand. The store is jammed by tries that are each given up before it comes to them. Ruled out: want of budget at cold providers, strikes (1 of 28), caps, slow providers. At fault: Policy.throttled and learnWindow, whose floor is per proxy though the store is shared.

Each proxy now takes a part of the window by how many there are; under one it paces its tries. Four proxies and fewer act as before.

Upgrades: the successor placed 76 clients by hash, each group on three providers that all paid for it.

--- a/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
@@ -100,6 +100,9 @@
   @Override
   public void resume(long now, String server) {}
 
+  @Override
+  public void bind(long now, Map<String, String> clients) {}
+
   @Override
   public boolean avoids(long now, String server) {
     return false;
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -11,11 +11,11 @@
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Outcomes;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
 /**
  * The core: events from the sockets and the clock go in, commands come out, and the balancer decides. It does
@@ -349,16 +349,19 @@
     event(time, () -> stopping.begin(time, limits.longest(), timing, succeeded, done));
   }
 
-  /** How many invocations are joined to each provider, by its name. */
-  public Map<String, Integer> standing() {
-    Map<String, Integer> standing = new HashMap<>();
+  /** Calls with the key and the provider of each invocation that is joined to one. */
+  public void forEachStanding(BiConsumer<String, String> each) {
     invocations.forEach(number -> {
       Invocation it = invocations.get(number);
       if (it.phase == Phase.UP) {
-        standing.merge(it.called, 1, Integer::sum);
+        each.accept(it.request.client(), it.called);
       }
     });
-    return standing;
+  }
+
+  /** These clients, by their keys, stood at these providers through another process, which now sends them here. */
+  public void bind(long time, Map<String, String> clients) {
+    event(time, () -> balancer.bind(events.now(), clients));
   }
 
   /** These providers are taken out by hand from now on, whatever the directory says, and no others. */
--- a/proxy/src/main/java/amberhoist/decide/Balancer.java
+++ b/proxy/src/main/java/amberhoist/decide/Balancer.java
@@ -1,6 +1,7 @@
 package amberhoist.decide;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * The decisions of one balancer for long-lived connections: events go in through this interface, actions come
@@ -112,7 +113,7 @@
    * @param zone where it stands
    * @param kind the machine kind
    * @param cell the set of servers that remember each other's keys
-   * @param size a figure to compare servers by; not positive means unknown
+   * @param size a figure to compare servers by; one that is not positive means unknown and counts as 1
    * @param since clock time of its latest start, 0 when long ago
    */
   record Server(String name, String zone, String kind, int cell, State state, double size, long since) {
@@ -121,6 +122,7 @@
       if (name == null || name.isEmpty() || state == null || since < 0) {
         throw new IllegalArgumentException("a server needs a name, a state and a start that is not negative");
       }
+      size = size > 0 ? size : 1;
     }
 
     /** The same server in another state and with another start. */
@@ -245,6 +247,9 @@
   /** A server taken out is called back, most likely restarted: it is cold, and nothing known of it holds. */
   void resume(long now, String server);
 
+  /** These clients, by their keys, stood at these servers until now and are about to come here. The map is used up. */
+  void bind(long now, Map<String, String> clients);
+
   /** A connection already open on {@code server} at the start; attempt 0 counts as sent and open. */
   void handover(long now, Request request, String server);
 
--- a/proxy/src/main/java/amberhoist/decide/Ledger.java
+++ b/proxy/src/main/java/amberhoist/decide/Ledger.java
@@ -3,6 +3,7 @@
 import amberhoist.decide.Balancer.Request;
 import amberhoist.decide.Balancer.RequestClass;
 import amberhoist.decide.Balancer.Server;
+import amberhoist.decide.Balancer.State;
 import java.util.List;
 
 /** What {@link Policy} keeps in mind: plain records without behaviour, private to the module. */
@@ -37,6 +38,10 @@
     double budget;
     long budgetAt;
 
+    boolean gone() {
+      return info.state() == State.GONE;
+    }
+
     boolean onTrial(long now) {
       return sheds && provenAt < Long.MAX_VALUE && now < provenAt;
     }
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -16,9 +16,8 @@
 import java.util.Random;
 import java.util.Set;
 
-/** All decisions, by affinity polling. The interface, with every type, event and action, is in Balancer.java.
- * <p>Read {@link #pick} first: an unexpired affinity entry decides, otherwise the rotation over the ready
- * servers with its load check. {@link #usable} holds the exceptions that pass a server by. */
+/** All decisions, by affinity polling; Balancer.java has every type, event and action. Read {@link #pick} first: an
+ * unexpired affinity entry decides, otherwise the rotation with its load check. {@link #usable} has the exceptions. */
 public final class Policy implements Balancer {
   // Settings. Times in microseconds; parts and multiples have no unit.
   static final long TTL = 60_000_000; // entry lifetime: outlives a client's pauses, not another day's visit
@@ -54,6 +53,7 @@
   static final double TRUST_MOST = 20; // set-ups that may fail, net, before set-ups are throttled: half of it
   static final double TRUST_GAIN = 1.5; // for each that stands: recovery doubles the set-ups, and no faster
   static final double TRUST_DRIP = 0.2e-6; // a microsecond: a trial each 5 s of many balancers is little load
+  static final double FEW = 4; // balancers; many share the shared call, so each takes a part of what one of few does
   static final double WINDOW_FIRST = 10; // set-ups out at once, until their latency says otherwise
   static final double WINDOW_LEAST = 2;
   static final double WINDOW_MOST = 100;
@@ -61,8 +61,7 @@
   static final double HOLD_PART = 0.5; // of a client's wait that a request may queue: it must still be set up
   static final int LEAST_LOADS = 5; // told of a class before its usual load counts
   static final int LOADS_KEPT = 100; // in that figure: few enough to follow the hours of a day
-  static final long CLEAR = 2_000_000; // a server taken out is clear of its clients by then: it may be restarted
-  static final long BACK_SPREAD = 2_000_000; // within it each balancer tries a server called back, not all at once
+  static final long CLEAR = 2_000_000; // a server taken out is clear of its clients by then, one called back is tried
   static final long YOUNG = 3_000_000; // a reset before this age is a failed set-up: servers shed the newest
 
   private static final RequestClass UNKNOWN = new RequestClass("", Effect.UNSAFE, Scope.CELL, 0, 0, 1, 0);
@@ -93,7 +92,9 @@
   private double trust = TRUST_MOST;
   private long trustAt;
   private int settingUp;
-  private double window = WINDOW_FIRST;
+  private double share; // of what one of few balancers may do to the shared call
+  private double window;
+  private long nextAt; // the next set-up, while less than one may be out on average
   private long cutAt;
   private double setUpAim = Double.MAX_VALUE;
   private long lookAt;
@@ -114,6 +115,7 @@
     take(given);
     rateAt = now;
     trustAt = now;
+    window = WINDOW_FIRST * share;
     nextSweep = now + SWEEP;
     index = random.nextInt(1 << 16); // the rotation's length is not known yet
     long spread = (long) (random.nextDouble() * given.askWithin() * FIRST_ASK); // not all in one second
@@ -131,6 +133,7 @@
 
   private void take(Settings given) {
     settings = given;
+    share = Math.min(1, FEW / given.balancers());
     types.clear();
     shortestAim = setUpAim = Double.MAX_VALUE;
     for (RequestClass type : given.classes()) {
@@ -177,7 +180,7 @@
       node.budget = random.nextDouble(); // many balancers, each with a part of one connection to spare
       node.budgetAt = now;
     }
-    node.goneAt = node.info == null || !gone(node) ? now : node.goneAt;
+    node.goneAt = node.info == null || !node.gone() ? now : node.goneAt;
     node.drained = server.state() == State.DRAINING
         || node.drained && !started && settings.onlyDrainingBinds();
     node.info = server.since() < since ? server.as(server.state(), since) : server;
@@ -189,13 +192,13 @@
   private void rebuild(long now) {
     boolean hint = settings.onlyDrainingBinds();
     boolean doubted = nodes.values().stream().anyMatch(this::contradicted)
-        || hint && nodes.values().stream().noneMatch(node -> !node.drained && !gone(node));
+        || hint && nodes.values().stream().noneMatch(node -> !node.drained && !node.gone());
     nodes.values().forEach(node -> node.ready = !node.drained && !out.containsKey(node.info.name())
-        && (doubted || !gone(node)));
+        && (doubted || !node.gone()));
     rotation.clear();
     nodes.values().stream().filter(node -> node.ready).forEach(rotation::add);
     rotation.sort(Comparator.comparing(node -> node.info.name()));
-    nodes.values().removeIf(node -> !node.ready && node.open == 0 && gone(node)
+    nodes.values().removeIf(node -> !node.ready && node.open == 0 && node.gone()
         && (!hint || now - node.goneAt > TTL));
     entries.values().removeIf(entry -> !entry.node().ready);
     groups.values().forEach(group -> group.order = null);
@@ -217,7 +220,7 @@
       nodes.put(server, node);
       told(now, node, old.info.as(old.info.state(), now));
       node.budget = 1; // for the trial
-      node.tryAt = now + (long) (random.nextDouble() * BACK_SPREAD);
+      node.tryAt = now + (long) (random.nextDouble() * CLEAR);
       rebuild(now);
     }
   }
@@ -230,13 +233,9 @@
     }
   }
 
-  private boolean gone(Node node) {
-    return node.info.state() == State.GONE;
-  }
-
   private boolean contradicted(Node node) {
     boolean heardSince = node.heardAt > node.goneAt && node.strikes == 0;
-    return settings.onlyDrainingBinds() && gone(node) && !node.drained && heardSince;
+    return settings.onlyDrainingBinds() && node.gone() && !node.drained && heardSince;
   }
 
   /** A sign of life from a server. */
@@ -314,7 +313,7 @@
   private boolean throttled(long now) {
     trust = Math.min(TRUST_MOST, trust + TRUST_DRIP * (now - trustAt));
     trustAt = now;
-    return settingUp >= window || trust < TRUST_MOST / 2 && trust < 1 + settingUp;
+    return settingUp >= window || now < nextAt || trust < TRUST_MOST / 2 && trust < 1 + settingUp;
   }
 
   /** How many set-ups may be out. Guards against all clients coming back at once, as after a restart: what the shared
@@ -322,11 +321,12 @@
    * instead costs nothing and is set up in its turn. */
   private void learnWindow(long now, boolean slow, long latency) {
     if (!slow) {
-      window = Math.min(WINDOW_MOST, window + 1 / window);
+      window = Math.min(WINDOW_MOST, Math.sqrt(window * window + 2 * share)); // many see few successes each
     } else if (now - cutAt > latency) { // those sent before the last cut say nothing new
-      window = Math.max(WINDOW_LEAST, window * WINDOW_CUT);
+      window = Math.max(WINDOW_LEAST * share, window * WINDOW_CUT);
       cutAt = now;
     }
+    nextAt = now + (long) (latency * Math.max(0, 1 / window - 1));
   }
 
   /** Rule 5: whether one more attempt beyond a first stays within the budget of the window that ends now. */
@@ -441,11 +441,7 @@
     long mixed = group.hashCode() * 0x9E3779B97F4A7C15L;
     mixed ^= node.info.name().hashCode() * 0xC2B2AE3D27D4EB4FL;
     mixed = (mixed ^ mixed >>> 29) * 0xBF58476D1CE4E5B9L;
-    return -Math.log(Math.max(((mixed ^ mixed >>> 32) >>> 11) / (double) (1L << 53), 1e-15)) / size(node);
-  }
-
-  private double size(Node node) {
-    return node.info.size() > 0 ? node.info.size() : 1;
+    return -Math.log(Math.max(((mixed ^ mixed >>> 32) >>> 11) / (double) (1L << 53), 1e-15)) / node.info.size();
   }
 
   /** How long messages take at a server, 0 when they are not slow. Guards against a server that nobody has told of
@@ -494,9 +490,9 @@
     }
     decay(now);
     double ends = rate * node.weight / (warmSize > 0 ? warmSize : totalSize); // by what those that are warm bear
-    // A proxy just started has seen hardly any end; but what stands here comes anew within the cold time, if need be.
-    double stands = jobs.size() * node.weight / totalSize / settings.coldTime();
-    double perMicro = COLD_CAUTION * settings.coldMultiple() * Math.max(ends, stands);
+    // A proxy just started has seen hardly any end; but what is wanted here comes anew within the cold time.
+    double due = jobs.size() * node.weight / totalSize / settings.coldTime();
+    double perMicro = COLD_CAUTION * settings.coldMultiple() * Math.max(ends, due);
     node.budget = Math.min(Math.max(1, perMicro * settings.coldWindow()),
         node.budget + perMicro * (now - node.budgetAt));
     node.budgetAt = now;
@@ -515,7 +511,7 @@
     totalSize = warmSize = 0;
     for (Node node : rotation) {
       double warmth = warmth(now, node);
-      node.weight = size(node) * warmth;
+      node.weight = node.info.size() * warmth;
       totalSize += node.weight;
       warmSize += warmth < 1 ? 0 : node.weight;
       node.cold = warmth < 1;
@@ -540,11 +536,16 @@
     settingUp++;
     node.budget -= 1;
     record(now, job.request.client(), node);
-    boolean last = job.attempts >= settings.maxAttempts();
-    long timeout = last ? left : Math.min(left, Math.max(job.type.aim(), left / 2));
+    long timeout = job.attempts >= settings.maxAttempts() ? left : Math.min(left, Math.max(job.type.aim(), left / 2));
     actions.send(job.request.id(), node.info.name(), timeout);
   }
 
+  @Override
+  public void bind(long now, Map<String, String> clients) {
+    clients.values().removeIf(server -> !nodes.containsKey(server) || !nodes.get(server).ready);
+    clients.forEach((client, server) -> entries.putIfAbsent(client, new Entry(nodes.get(server), now)));
+  }
+
   private void record(long now, String client, Node node) {
     if (client != null) {
       entries.put(client, new Entry(node, now));
--- a/proxy/src/main/java/amberhoist/service/Desk.java
+++ b/proxy/src/main/java/amberhoist/service/Desk.java
@@ -14,6 +14,7 @@
 import amberhoist.upgrade.Handover;
 import amberhoist.upgrade.Succession;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -89,7 +90,7 @@
       return succession.suspend(provider, out);
     }
     return asked(() -> {
-      core.suspend(loop.now(), new Handover(core.suspended(), List.of()).with(provider, out).suspended());
+      core.suspend(loop.now(), new Handover(core.suspended(), List.of(), Map.of()).with(provider, out).suspended());
       return true;
     });
   }
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -33,6 +33,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -289,6 +290,13 @@
   /** Stops in good order; returns when all is closed. */
   public void stop() {
     boolean succeeded = succession != null && succession.succeeded();
+    if (succeeded) {
+      succession.leave(asked(() -> {
+        Map<String, String> clients = new HashMap<>();
+        core.forEachStanding(clients::put);
+        return clients;
+      }));
+    }
     log.tell(Event.PROXY_STOPS, succeeded ? "told to end, another process serves in its place" : "told to end");
     loop.post(() -> {
       stopping = true;
--- a/proxy/src/main/java/amberhoist/service/Sharing.java
+++ b/proxy/src/main/java/amberhoist/service/Sharing.java
@@ -3,6 +3,8 @@
 import amberhoist.core.Core;
 import amberhoist.net.Loop;
 import amberhoist.upgrade.Succession;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.IntConsumer;
 
@@ -27,6 +29,11 @@
     });
   }
 
+  @Override
+  public void bindings(Map<String, String> clients) {
+    loop.ahead(() -> core.bind(loop.now(), new HashMap<>(clients)));
+  }
+
   @Override
   public void elsewhere(int descriptors) {
     loop.ahead(() -> elsewhere.accept(descriptors));
--- a/proxy/src/main/java/amberhoist/service/Statuses.java
+++ b/proxy/src/main/java/amberhoist/service/Statuses.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -29,7 +30,8 @@
   static Status of(Setup setup, boolean stopping, Service service, long uptime, int connections, Core core,
       AddressBook addresses, Counters counters, Latencies latencies, EventLog log, List<String> restartNeeded,
       InetSocketAddress watched) {
-    Map<String, Integer> standing = core.standing();
+    Map<String, Integer> standing = new HashMap<>();
+    core.forEachStanding((key, provider) -> standing.merge(provider, 1, Integer::sum));
     List<Provider> providers = new ArrayList<>();
     for (Server server : addresses.listed()) {
       providers.add(new Provider(server.name(), server.zone(), server.state().name().toLowerCase(Locale.ROOT),
--- a/proxy/src/main/java/amberhoist/upgrade/HandoverCodec.java
+++ b/proxy/src/main/java/amberhoist/upgrade/HandoverCodec.java
@@ -9,7 +9,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -60,6 +62,11 @@
         out.writeEndObject();
       }
       out.writeEndArray();
+      out.writeObjectFieldStart("bindings");
+      for (Map.Entry<String, String> binding : record.bindings().entrySet()) {
+        out.writeStringField(binding.getKey(), binding.getValue());
+      }
+      out.writeEndObject();
       out.writeEndObject();
     } catch (IOException fault) {
       throw new UncheckedIOException(fault);
@@ -78,8 +85,17 @@
       }
       Set<String> suspended = new TreeSet<>();
       List<Member> members = new ArrayList<>();
+      Map<String, String> bindings = new HashMap<>();
       while (in.nextToken() == JsonToken.FIELD_NAME) {
         String field = in.currentName();
+        if (field.equals("bindings")) {
+          require(in.nextToken() == JsonToken.START_OBJECT, "the bindings are no object");
+          while (in.nextToken() == JsonToken.FIELD_NAME) {
+            bindings.put(in.currentName(), in.nextTextValue());
+          }
+          require(in.currentToken() == JsonToken.END_OBJECT && !bindings.containsValue(null), "a binding to no text");
+          continue;
+        }
         require(in.nextToken() == JsonToken.START_ARRAY, field + " is no list");
         while (in.nextToken() != JsonToken.END_ARRAY) {
           if (field.equals("suspended")) {
@@ -92,7 +108,7 @@
         }
       }
       require(in.currentToken() == JsonToken.END_OBJECT && in.nextToken() == null, "it is not whole");
-      return new Handover(suspended, members);
+      return new Handover(suspended, members, bindings);
     } catch (IOException fault) {
       throw new Unreadable("it is not whole", false);
     }
--- a/proxy/src/main/java/amberhoist/upgrade/Succession.java
+++ b/proxy/src/main/java/amberhoist/upgrade/Succession.java
@@ -3,6 +3,7 @@
 import amberhoist.upgrade.Handover.Member;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -21,6 +22,9 @@
     /** These providers are taken out, by a call at whichever door; told in order, and {@code done} once it holds. */
     void suspended(Set<String> providers, Runnable done);
 
+    /** These clients, by their keys, stood at these providers through a process that now sends them here. */
+    void bindings(Map<String, String> clients);
+
     /** The others hold so many descriptors, 0 when there is none. */
     void elsewhere(int descriptors);
   }
@@ -87,6 +91,11 @@
     return done;
   }
 
+  /** Keeps where this process's clients stand, by their keys, for the one that they are sent to. */
+  public void leave(Map<String, String> clients) {
+    CompletableFuture.runAsync(() -> kept(record -> record.binding(clients)), thread).join();
+  }
+
   /** Whether a process that started after this one serves now. */
   public boolean succeeded() {
     return CompletableFuture.supplyAsync(() -> living(file.read()).succeeded(token), thread).join();
@@ -98,6 +107,9 @@
       if (!now.suspended().equals(seen.suspended())) {
         host.suspended(now.suspended(), () -> { });
       }
+      if (!now.bindings().equals(seen.bindings()) && !now.succeeded(token)) { // told to the latest process
+        host.bindings(now.bindings());
+      }
       seen = now;
       int others = living(now).members().stream().filter(member -> !member.token().equals(token))
           .mapToInt(Member::descriptors).sum();
--- a/proxy/src/test/java/amberhoist/decide/SuspensionTest.java
+++ b/proxy/src/test/java/amberhoist/decide/SuspensionTest.java
@@ -107,7 +107,7 @@
     bench.balancer.resume(bench.now, "s7");
     Set<String> used = new HashSet<>();
     for (long id = 0; id < 10; id++) {
-      bench.pass(Policy.BACK_SPREAD / 8);
+      bench.pass(Policy.CLEAR / 8);
       used.add(bench.open(id, "k" + id, "g" + id));
     }
     assertTrue(used.contains("s7"), used.toString());
@@ -124,7 +124,7 @@
     bench.balancer.suspend(bench.now, "a");
     bench.balancer.resume(bench.now, "a");
     assertFalse(bench.balancer.avoids(bench.now, "a"));
-    bench.pass(Policy.BACK_SPREAD);
+    bench.pass(Policy.CLEAR);
     int sent = 0;
     for (long id = 100; id < 160; id++) { // a warm server takes all of them
       sent += bench.open(id, "k" + id, null) == null ? 0 : 1;
--- a/proxy/src/test/java/amberhoist/service/UpgradeStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/UpgradeStoriesTest.java
@@ -92,6 +92,38 @@
     }
   }
 
+  /** Guards against a successor that spreads the clients of a group over providers that had none of it. */
+  @Test
+  void clientsComeBackThroughTheSuccessorToWhereTheyStood() throws Exception {
+    try (Peers peers = new Peers(4)) {
+      int port = freePort();
+      Service old = start(peers, port);
+      List<Peer> standing = new ArrayList<>();
+      for (int i = 0; i < 12; i++) {
+        standing.add(client(port, Peers.opening("s" + i, 9000, ",at=p3")));
+        Peer there = peers.provider(3);
+        there.line();
+        there.send("UP r\r\n");
+        assertEquals("UP r", standing.get(i).line());
+      }
+      Service fresh = start(peers, port);
+      Thread stop = new Thread(old::stop);
+      stop.start();
+      for (Peer client : standing) {
+        assertEquals("MOVE", client.line());
+      }
+      stop.join();
+      for (int i = 0; i < 12; i++) {
+        client(port, Peers.opening("s" + i, 3000, ",again=1"));
+        Peer there = peers.provider(3);
+        String line = there.line();
+        there.send("UP r\r\n");
+        assertTrue(line.contains(" s" + i + " "), line);
+      }
+      fresh.kill();
+    }
+  }
+
   @Test
   void aCallAtEitherDoorCountsForBothAndForWhoComesAfter() throws Exception {
     try (Peers peers = new Peers(2)) {
--- a/proxy/src/test/java/amberhoist/upgrade/HandoverTest.java
+++ b/proxy/src/test/java/amberhoist/upgrade/HandoverTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -21,7 +22,7 @@
 /** The record that the processes of an upgrade share, and its file. */
 class HandoverTest {
   private static final Handover RECORD = new Handover(Set.of("s-1", "s \"2\" \u00e9"),
-      List.of(new Member("a", 11, true, 40), new Member("b", 12, false, 0)));
+      List.of(new Member("a", 11, true, 40), new Member("b", 12, false, 0)), Map.of("k1", "s-1", "k\"", "s-2"));
 
   @TempDir
   Path folder;
@@ -50,7 +51,8 @@
       assertThrows(Unreadable.class, () -> HandoverCodec.read(part), new String(part, StandardCharsets.UTF_8));
     }
     for (String text : List.of("[]", "{\"suspended\":[]}", "{\"version\":1,\"more\":[1]}", "{\"version\":1}x",
-        "{\"version\":1,\"suspended\":[3]}", "{\"version\":1,\"members\":[{\"pid\":1}]}", "{\"version\":\"1\"}")) {
+        "{\"version\":1,\"suspended\":[3]}", "{\"version\":1,\"members\":[{\"pid\":1}]}", "{\"version\":\"1\"}",
+        "{\"version\":1,\"bindings\":{\"k\":3}}", "{\"version\":1,\"bindings\":[]}")) {
       assertThrows(Unreadable.class, () -> HandoverCodec.read(text.getBytes(StandardCharsets.UTF_8)), text);
     }
   }
