--- a/proxy/src/main/java/amberhoist/service/Desk.java
+++ b/proxy/src/main/java/amberhoist/service/Desk.java
@@ -11,10 +11,10 @@
 import amberhoist.mgmt.Figures;
 import amberhoist.mgmt.Operations;
 import amberhoist.net.Loop;
-import amberhoist.upgrade.Handover;
 import amberhoist.upgrade.Succession;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -90,7 +90,10 @@
       return succession.suspend(provider, out);
     }
     return asked(() -> {
-      core.suspend(loop.now(), new Handover(core.suspended(), List.of(), Map.of()).with(provider, out).suspended());
+      Set<String> names = new HashSet<>(core.suspended());
+      if (out ? names.add(provider) : names.remove(provider)) {
+        core.suspend(loop.now(), names);
+      }
       return true;
     });
   }
