--- a/proxy/src/test/java/amberhoist/service/DoorStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/DoorStoriesTest.java
@@ -25,7 +25,11 @@
   record Said(String status, String head, String body) {}
 
   private static Socket caller(Peers peers) throws Exception {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), peers.service.doorAddress().getPort());
+    return caller(peers.service);
+  }
+
+  private static Socket caller(Service service) throws Exception {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), service.doorAddress().getPort());
     socket.setSoTimeout(Peers.PATIENCE);
     return socket;
   }
@@ -40,15 +44,23 @@
     return new Said(text.substring(9, 12), text.substring(0, body), text.substring(body + 4));
   }
 
-  static Said call(Peers peers, String text) throws Exception {
-    try (Socket socket = caller(peers)) {
+  private static Said call(Peers peers, String text) throws Exception {
+    return call(peers.service, text);
+  }
+
+  static Said call(Service service, String text) throws Exception {
+    try (Socket socket = caller(service)) {
       send(socket, text);
       return answer(socket);
     }
   }
 
-  static JsonNode figures(Peers peers) throws Exception {
-    return JSON.readTree(call(peers, "GET /v1/metrics HTTP/1.1\r\n\r\n").body());
+  private static JsonNode figures(Peers peers) throws Exception {
+    return figures(peers.service);
+  }
+
+  static JsonNode figures(Service service) throws Exception {
+    return JSON.readTree(call(service, "GET /v1/metrics HTTP/1.1\r\n\r\n").body());
   }
 
   private static Peers withDoor(int providers) throws Exception {
--- a/proxy/src/test/java/amberhoist/service/UpgradeStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/UpgradeStoriesTest.java
@@ -7,11 +7,9 @@
 import amberhoist.config.Config;
 import amberhoist.service.Peers.Peer;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -42,38 +40,38 @@
   }
 
   private static String call(Service service, String method, String path) throws Exception {
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), service.doorAddress().getPort())) {
-      socket.setSoTimeout(Peers.PATIENCE);
-      socket.getOutputStream().write((method + ' ' + path + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-    }
+    return DoorStoriesTest.call(service, method + ' ' + path + " HTTP/1.1\r\n\r\n").status();
   }
 
   private static JsonNode figures(Service service) throws Exception {
-    String answer = call(service, "GET", "/v1/metrics");
-    return new ObjectMapper().readTree(answer.substring(answer.indexOf("\r\n\r\n")));
+    return DoorStoriesTest.figures(service);
   }
 
   private static Peer client(int port, String text) throws Exception {
     return new Peer(new Socket(InetAddress.getLoopbackAddress(), port)).send(text);
   }
 
+  /** So many clients, served by this provider. */
+  private static List<Peer> standing(Peers peers, int port, int count, int provider) throws Exception {
+    List<Peer> standing = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      standing.add(client(port, Peers.opening("s" + i, 9000, ",at=p" + provider)));
+      Peer there = peers.provider(provider);
+      there.line();
+      there.send("UP r\r\n");
+      assertEquals("UP r", standing.get(i).line());
+    }
+    return standing;
+  }
+
   @Test
   void clientsAreMovedAtOnceToASuccessorAndTheListenerIsItsAlone() throws Exception {
     try (Peers peers = new Peers(1)) {
       int port = freePort();
       Service old = start(peers, port);
-      List<Peer> standing = new ArrayList<>();
-      for (int i = 0; i < 30; i++) {
-        Peer client = client(port, Peers.opening("s" + i, 9000, ",at=p0"));
-        Peer there = peers.provider(0);
-        there.line();
-        there.send("UP r\r\n");
-        assertEquals("UP r", client.line());
-        standing.add(client);
-      }
+      List<Peer> standing = standing(peers, port, 30, 0);
       Service fresh = start(peers, port);
-      assertTrue(call(fresh, "GET", "/v1/readyz").startsWith("HTTP/1.1 200"));
+      assertEquals("200", call(fresh, "GET", "/v1/readyz"));
       Thread stop = new Thread(old::stop);
       stop.start();
       for (Peer client : standing) {
@@ -98,14 +96,7 @@
     try (Peers peers = new Peers(4)) {
       int port = freePort();
       Service old = start(peers, port);
-      List<Peer> standing = new ArrayList<>();
-      for (int i = 0; i < 12; i++) {
-        standing.add(client(port, Peers.opening("s" + i, 9000, ",at=p3")));
-        Peer there = peers.provider(3);
-        there.line();
-        there.send("UP r\r\n");
-        assertEquals("UP r", standing.get(i).line());
-      }
+      List<Peer> standing = standing(peers, port, 12, 3);
       Service fresh = start(peers, port);
       Thread stop = new Thread(old::stop);
       stop.start();
@@ -129,14 +120,14 @@
     try (Peers peers = new Peers(2)) {
       int port = freePort();
       Service old = start(peers, port);
-      assertTrue(call(old, "PUT", "/v1/viewer-hosts/p0/suspend").startsWith("HTTP/1.1 200"));
+      assertEquals("200", call(old, "PUT", "/v1/viewer-hosts/p0/suspend"));
       Service fresh = start(peers, port);
       assertEquals(1, figures(fresh).path("viewer_hosts_excluded").asInt(), "known from the start on");
-      assertTrue(call(fresh, "PUT", "/v1/viewer-hosts/p1/suspend").startsWith("HTTP/1.1 200"));
+      assertEquals("200", call(fresh, "PUT", "/v1/viewer-hosts/p1/suspend"));
       while (figures(old).path("viewer_hosts_excluded").asInt() != 2) {
         Thread.onSpinWait();
       }
-      assertTrue(call(old, "PUT", "/v1/viewer-hosts/p0/resume").startsWith("HTTP/1.1 200"));
+      assertEquals("200", call(old, "PUT", "/v1/viewer-hosts/p0/resume"));
       while (figures(fresh).path("viewer_hosts_excluded").asInt() != 1) {
         Thread.onSpinWait();
       }
@@ -153,7 +144,7 @@
     try (Peers peers = new Peers(1)) {
       Service service = start(peers, freePort());
       Files.writeString(folder.resolve("amberhoist.handover"), "{\"version\":99}");
-      assertTrue(call(service, "PUT", "/v1/viewer-hosts/p0/suspend").startsWith("HTTP/1.1 503"));
+      assertEquals("503", call(service, "PUT", "/v1/viewer-hosts/p0/suspend"));
       assertEquals(0, figures(service).path("viewer_hosts_excluded").asInt());
       service.kill();
     }
@@ -166,7 +157,7 @@
       Files.writeString(file, peers.config(peers.directory));
       Service service = Service.start(Config.load(Map.of("LB_CONFIG", file.toString(), "LB_MGMT", "127.0.0.1:0",
           "TMPDIR", folder.resolve("nowhere").toString()), new Clock()));
-      assertTrue(call(service, "GET", "/v1/readyz").startsWith("HTTP/1.1 200"));
+      assertEquals("200", call(service, "GET", "/v1/readyz"));
       service.kill();
     }
   }
