Ask providers for their load where one of many proxies knows too little to place by

Ruled out: absence (189 of 872 clients away for some seconds), rejections (8), processor time, set-up windows. At fault: walk() and relieve(), which know loads by the own connections and by delays.

Now one of more than four proxies asks (STATS) the first three homes of what it is about to place, waits 80 ms at most, goes to the coolest, asks now and then where its clients stand, and moves its part of what is over 0.85 there.

--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProvider.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProvider.java
@@ -114,6 +114,11 @@
     }
   }
 
+  /** The load asked of it over what it can do now. */
+  double heat() {
+    return demand / MICRO / (work * warmth());
+  }
+
   /** How long a message of this class takes now, in micros. */
   double messageTime(Type type) {
     settle();
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -354,6 +354,23 @@
     }
   }
 
+  @Override
+  public void ask(String provider) {
+    EmulatedProvider target = world.provider(provider);
+    int ofLife = life;
+    if (target != null && target.answers(this)) {
+      long way = world.delay(zone, target.zone) * (2 * world.experiment.network().handshakes() + 1);
+      world.time.after(way, () -> {
+        double heat = target.heat();
+        world.time.after(world.delay(zone, target.zone), () -> {
+          if (alive && life == ofLife && target.answers(this)) {
+            core.report(world.time.now(), target.name, heat);
+          }
+        });
+      });
+    }
+  }
+
   @Override
   public void watch() {
     // it is always watched here; a directory that fails is a fault of the time line
--- a/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
@@ -89,6 +89,11 @@
     // nor to delays
   }
 
+  @Override
+  public void report(long now, String server, double heat) {
+    // it asks for none
+  }
+
   @Override
   public void departed(long now, long request) {
     owed.remove(request);
--- a/lab/src/main/java/amberhoist/lab/emulator/World.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/World.java
@@ -355,6 +355,6 @@
         Scope.ALL, micros(type.aim()), 0, type.worth(), micros(type.message()))).toList();
     return new Settings(zone, index, proxies.size(), classes, true, 10 * SECOND, 6, MOST_ADVICE, 0.02, 0.03, coldShare,
         coldTime, experiment.fleet().coldMultiple(), micros(experiment.fleet().coldWindow()),
-        value());
+        value(), experiment.fleet().reports());
   }
 }
--- a/lab/src/main/java/amberhoist/lab/experiment/Experiment.java
+++ b/lab/src/main/java/amberhoist/lab/experiment/Experiment.java
@@ -28,7 +28,8 @@
           + " connections ...", min = "1", max = "100") double coldMultiple,
       @Setting(value = "... for this long.", min = "100ms", max = "1m") Duration coldWindow,
       @Setting(value = "What a group's first connection costs a provider beside its own load, in usual loads of its"
-          + " class.", min = "0", max = "100") double groupCost) {}
+          + " class.", min = "0", max = "100") double groupCost,
+      @Setting("Whether proxies may ask providers for their load reports.") boolean reports) {}
 
   /** What clients want. */
   @Setting("What clients want.")
@@ -191,7 +192,7 @@
   /** What holds where a file says nothing. */
   public static final Experiment DEFAULT = new Experiment("experiment", "", Duration.ofSeconds(60),
       Duration.ofSeconds(15), Duration.ZERO, List.of(1, 2, 3),
-      new Fleet(12, 2, List.of("a", "b"), 4, Duration.ofSeconds(1), 1),
+      new Fleet(12, 2, List.of("a", "b"), 4, Duration.ofSeconds(1), 1, false),
       new Load(0.6, 0, Duration.ofSeconds(30), 8, false, false, 100, 1),
       new Clients(Duration.ofSeconds(2), Duration.ofMillis(120), Duration.ofMillis(780), Duration.ofMillis(60),
           Duration.ofSeconds(2), 0.6, 0.2),
--- a/proxy/src/main/java/amberhoist/core/Commands.java
+++ b/proxy/src/main/java/amberhoist/core/Commands.java
@@ -34,6 +34,9 @@
   /** Makes sure that the directory is watched. */
   void watch();
 
+  /** Asks a provider for its load report; {@link Core#report} takes it, should one come. */
+  void ask(String provider);
+
   /** A line for the operator's log. */
   void log(String message);
 }
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -208,18 +208,12 @@
 
   /** A line of the client has been passed to its provider. */
   public void asked(long time, long number, long provider) {
-    Invocation it = joined(number, provider);
-    if (it != null) {
-      silence.asked(time, number, it);
-    }
+    silence.asked(time, number, joined(number, provider));
   }
 
   /** A line of the provider has come that is no mere figure of its load. */
   public void returned(long time, long number, long provider) {
-    Invocation it = joined(number, provider);
-    if (it != null) {
-      silence.returned(time, number, it);
-    }
+    silence.returned(time, number, joined(number, provider));
   }
 
   private void lose(Invocation it, long number) {
@@ -329,6 +323,20 @@
     commands.watch();
   }
 
+  @Override
+  public void ask(String server) {
+    counters.add(Count.REPORTS_ASKED);
+    commands.ask(server);
+  }
+
+  /** A provider has reported the load asked of it over what it can do, from 0 on. */
+  public void report(long time, String provider, double heat) {
+    event(time, () -> {
+      counters.add(Count.REPORTS);
+      balancer.report(events.now(), provider, heat);
+    });
+  }
+
   @Override
   public void timer(long at, long token) {
     wheel.arm(at, time -> event(time, () -> balancer.timer(events.now(), token)));
--- a/proxy/src/main/java/amberhoist/core/SilenceWatch.java
+++ b/proxy/src/main/java/amberhoist/core/SilenceWatch.java
@@ -49,19 +49,21 @@
     }
   }
 
-  /** A line of the client has been passed to its provider. */
+  /** A line of the client has been passed to its provider; null for one that is joined no longer. */
   void asked(long time, long number, Invocation it) {
-    if (it.unanswered == 0) {
+    if (it != null && it.unanswered == 0) {
       it.unanswered = time;
       it.pulse.asked(number);
       watch(number, it, time + timing.quiet());
     }
   }
 
-  /** A line of the provider has come that is no mere figure of its load. */
+  /** A line of the provider has come that is no mere figure of its load; null for one that is joined no longer. */
   void returned(long time, long number, Invocation it) {
-    it.unanswered = 0;
-    it.pulse.returned(number, time);
+    if (it != null) {
+      it.unanswered = 0;
+      it.pulse.returned(number, time);
+    }
   }
 
   private void watch(long number, Invocation it, long due) {
--- a/proxy/src/main/java/amberhoist/decide/Balancer.java
+++ b/proxy/src/main/java/amberhoist/decide/Balancer.java
@@ -42,6 +42,9 @@
     /** Asks the list service for changes from now on; answered by {@link #members}. */
     void subscribe();
 
+    /** Asks a server for its load report; answered by {@link #report}, unless none can be had. */
+    void ask(String server);
+
     /** Wants {@link #timer} called with this token at the given clock time or soon after. */
     void timer(long at, long token);
 
@@ -188,10 +191,11 @@
    * @param coldMultiple sent more than this multiple of its present capacity ...
    * @param coldWindow ... for this long, it falls over
    * @param value what connections are worth
+   * @param reports whether servers may be asked for their load reports
    */
   record Settings(String zone, int index, int balancers, List<RequestClass> classes, boolean subscribe,
       long askWithin, int maxAttempts, long maxRetryAfter, double crossZonePrice, double movePrice,
-      double coldShare, long coldTime, double coldMultiple, long coldWindow, Value value) {
+      double coldShare, long coldTime, double coldMultiple, long coldWindow, Value value, boolean reports) {
     /** Refuses what no deployment can mean, such as negative times or a cold multiple of 0. */
     public Settings {
       if (zone == null || classes == null || balancers < 1 || maxAttempts < 1) {
@@ -256,6 +260,13 @@
   /** Messages at the server of this connection now take {@code micros}. */
   void delay(long now, long request, int attempt, double micros);
 
+  /**
+   * A server's load report, asked for by {@link Actions#ask}.
+   *
+   * @param heat the load asked of it over what it can do, from 0 on; over 1 work piles up
+   */
+  void report(long now, String server, double heat);
+
   /** The client has left, or the answer is overdue; none is owed any more. Attempts still out still end. */
   void departed(long now, long request);
 
--- a/proxy/src/main/java/amberhoist/decide/Ledger.java
+++ b/proxy/src/main/java/amberhoist/decide/Ledger.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** What {@link Policy} keeps in mind: plain records without behaviour, private to the module. */
+/** What {@link Policy} keeps in mind: plain records and counts that decide nothing, private to the module. */
 final class Ledger {
+  private static final long NEVER = Long.MIN_VALUE / 2; // the clock may begin at 0
+
   private Ledger() {}
 
   /** What this balancer knows of a server. */
@@ -36,6 +38,23 @@
     long tryAt = Long.MAX_VALUE; // called back by hand and not proven since: when it gets one connection
     double budget;
     long budgetAt;
+    double heat; // of what it can do, asked of it: as its latest report said
+    long toldAt = NEVER; // when that came
+    long askedAt = NEVER;
+
+    /** Whether a report is no older than this. */
+    boolean known(long now, long age) {
+      return now - toldAt < age;
+    }
+
+    /** Counts so many more of a group's connections; how many more groups are held here by that. */
+    int hold(Group group, int more) {
+      int before = groups.size();
+      if (groups.merge(group, more, Integer::sum) == 0) {
+        groups.remove(group);
+      }
+      return groups.size() - before;
+    }
 
     boolean onTrial(long now) {
       return sheds && provenAt < Long.MAX_VALUE && now < provenAt;
@@ -49,11 +68,47 @@
   static final class Group {
     List<Node> order;
     double seen;
-    double turn;
+    private double turn;
 
     Group(double turn) {
       this.turn = turn;
     }
+
+    /** Sees one more request; its turn, a step behind the one before. */
+    double meet(double step) {
+      seen++;
+      turn = (turn + step) % 1;
+      return turn;
+    }
+  }
+
+  /** A number from 0, exclusive, to 1 that is the same for the same two names everywhere, and looks like chance. */
+  static double mix(String first, String second) {
+    long mixed = first.hashCode() * 0x9E3779B97F4A7C15L;
+    mixed ^= second.hashCode() * 0xC2B2AE3D27D4EB4FL;
+    mixed = (mixed ^ mixed >>> 29) * 0xBF58476D1CE4E5B9L;
+    return Math.max(((mixed ^ mixed >>> 32) >>> 11) / (double) (1L << 53), 1e-15);
+  }
+
+  /** How many come in a microsecond, of late. */
+  static final class Rate {
+    private final double memory; // microseconds
+    private double value;
+    private long at;
+
+    Rate(double memory) {
+      this.memory = memory;
+    }
+
+    double at(long now) {
+      value *= Math.exp((at - now) / memory);
+      at = now;
+      return value;
+    }
+
+    void add(long now, double count) {
+      value = at(now) + count / memory;
+    }
   }
 
   /** The usual load of a class, from the loads told so far. */
@@ -73,8 +128,8 @@
     RequestClass type;
     Group group;
     double load;
-    boolean told; // the load, by its server or as a hint
     double turn;
+    boolean told; // the load, by its server or as a hint
     long arrived;
     long openedAt;
     int attempts;
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -4,9 +4,11 @@
 import amberhoist.decide.Ledger.Group;
 import amberhoist.decide.Ledger.Job;
 import amberhoist.decide.Ledger.Node;
+import amberhoist.decide.Ledger.Rate;
 import amberhoist.decide.Ledger.Usual;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -39,11 +41,11 @@
   static final double CAP_FLOOR = 0.5; // of the due load: with less than this, load is not the cause
   static final double BOUND = 1.5; // of its due part a home takes: all balancers fill the same homes
   static final double GRAIN = 2; // and so many connections more, a cold one a part of one: all add theirs
-  static final double SPREAD = 1.5; // a group's homes hold this multiple of its load at their due part
   static final double SPAN = 0.5; // of a group's due servers, over which the starts of its walks are spread
+  static final double GOLDEN = 0.618034; // step between the starts of a group's walks: spreads them evenly
+  static final double SPREAD = 1.5; // a group's homes hold this multiple of its load at their due part
   static final double GROUPS_KEPT = 0.85; // of the counts by group at each sweep: a minute's memory
   static final double PRIOR = 9; // requests' worth of belief that a group not seen yet is a tenth of all
-  static final double GOLDEN = 0.618034; // step between the starts of a group's walks: spreads them evenly
   static final int LEAST_HOMES = 3; // so that when one home fails its clients do not all go to one other
   static final double GROUP_COST = 4; // mean loads that a server pays for a group, as a guess: no setting tells it
   static final long AVOID = 500_000; // a server with a failed set-up is passed by; doubled with each strike
@@ -59,6 +61,12 @@
   static final double HOLD_PART = 0.5; // of a client's wait that a request may queue: it must still be set up
   static final int LEAST_LOADS = 5; // told of a class before its usual load counts
   static final int LOADS_KEPT = 100; // in that figure: few enough to follow the hours of a day
+  static final double HOT = 0.85; // of what a server can do, asked of it: from here on some connections must go
+  static final double COOL = 0.8; // and so much stays: messages are in time at nearly all of such servers
+  static final double ELSEWHERE = 0.1; // a home in another zone must be so much cooler: crossing has its price
+  static final long FRESH = 3_000_000; // a report counts so long: loads swing within some seconds
+  static final long ASK_WAIT = 4 * TICK; // for reports, before a first attempt: round trips to another zone
+  static final double ASK_RATE = 0.1e-6; // reports a microsecond for each connection here: of each server in seconds
   static final double RESERVE = 0.6; // of a learned cap, kept from what is worth nothing, less from what is worth more
   static final long CLEAR = 2_000_000; // a server taken out is clear of its clients by then, one called back is tried
   static final long YOUNG = 3_000_000; // a reset before this age is a failed set-up: servers shed the newest
@@ -86,13 +94,13 @@
   private double meanLoad = 10_000;
   private double mostWorth = 1; // of a unit of load, in any class
   private int index;
-  private double rate;
+  private final Rate rate = new Rate(MEMORY); // of finished connections
   private double seen;
-  private long rateAt;
   private double trust = TRUST_MOST;
   private long trustAt;
   private int settingUp;
   private double share; // of what one of few balancers may do to the shared call
+  private boolean asks; // for reports: one of many carries too little to know the servers by
   private double window;
   private long nextAt; // the next set-up, while less than one may be out on average
   private long cutAt;
@@ -113,7 +121,7 @@
     actions = sink;
     random = new Random(seed);
     take(given);
-    rateAt = trustAt = now;
+    trustAt = now;
     window = WINDOW_FIRST * share;
     nextSweep = now + SWEEP;
     index = random.nextInt(1 << 16); // the rotation's length is not known yet
@@ -133,6 +141,7 @@
   private void take(Settings given) {
     settings = given;
     share = Math.min(1, FEW / given.balancers());
+    asks = given.reports() && share < 1;
     types.clear();
     shortestAim = setUpAim = Double.MAX_VALUE;
     for (RequestClass type : given.classes()) {
@@ -173,8 +182,7 @@
   /** What a list says of a server. A list may be old: the latest start stays, and so, if need be, a drain. */
   private void told(long now, Node node, Server server) {
     long since = node.info == null ? 0 : node.info.since();
-    boolean started = node.info == null || server.since() > since;
-    if (started) {
+    if (node.info == null || server.since() > since) {
       node.luck = GRAIN * random.nextDouble();
       node.budget = random.nextDouble(); // many balancers, each with a part of one connection to spare
       node.budgetAt = now;
@@ -214,25 +222,15 @@
     }
   }
 
-  /** Guards against clients cut off at a server taken out: they are moved before it is restarted, at an even pace. */
-  private void clear(long now, Job job) {
-    Long since = job.open && !job.moved && job.node.info != null ? out.get(job.node.info.name()) : null;
-    if (since != null && random.nextDouble() * Math.max(1, since + CLEAR - now) < LOOK) {
-      move(job);
-    }
-  }
-
   @Override
   public void handover(long now, Request request, String server) {
     started();
     Job job = job(now, request);
     job.open = true;
-    rate += 1 / (2 * MEMORY);
+    rate.add(now, 0.5);
     Node node = nodes.get(server);
     bind(now, job, node);
-    if (node != null && node.ready) {
-      record(now, request.client(), node);
-    }
+    record(now, request.client(), node);
   }
 
   @Override
@@ -252,11 +250,8 @@
         name -> new Group(random.nextDouble()));
     job.told = request.hint() > 0;
     job.load = job.told ? request.hint() : usual(job.type);
-    if (job.group != null) {
-      job.group.seen++;
-      seen++;
-      job.turn = job.group.turn = (job.group.turn + GOLDEN) % 1;
-    }
+    seen += job.group == null ? 0 : 1;
+    job.turn = job.group == null ? 0 : job.group.meet(GOLDEN);
     job.arrived = now;
     return job;
   }
@@ -269,7 +264,7 @@
       return;
     }
     boolean queued = throttled(now); // its turn comes, so it may wait longer than one that nobody can take
-    Node node = queued ? null : pick(now, job);
+    Node node = queued || asking(now, job) ? null : pick(now, job);
     long waited = now - job.arrived;
     if (node != null) {
       send(now, job, node, left);
@@ -282,6 +277,33 @@
     }
   }
 
+  /** Whether reports of its homes are on their way. Guards against one of many taking busy servers for free ones. */
+  private boolean asking(long now, Job job) {
+    if (!asks || job.group == null || job.attempts > 0 || now > job.arrived + ASK_WAIT) {
+      return false;
+    }
+    List<Node> first = homes(now, job).stream().limit(LEAST_HOMES).toList();
+    first.stream().filter(home -> now - Math.max(home.toldAt, home.askedAt) >= FRESH).forEach(home -> ask(now, home));
+    return first.stream().anyMatch(home -> home.askedAt > home.toldAt && now - home.askedAt < ASK_WAIT);
+  }
+
+  private void ask(long now, Node node) {
+    node.askedAt = now;
+    actions.ask(node.info.name());
+  }
+
+  /** Guards against a hot server keeping what it has: each of many moves its own part of what is too much there. */
+  @Override
+  public void report(long now, String server, double heat) {
+    Node node = nodes.get(server);
+    if (node != null) {
+      node.heat = heat;
+      node.toldAt = now;
+      relieve(now, node, heat > HOT ? node.load * (1 - COOL / heat) : 0, false);
+      retryHeld(now);
+    }
+  }
+
   /** Retry throttling. Guards against a storm of set-ups that keeps its own cause alive, as at a shared call: a failed
    * or late one takes trust, one in time gives some. With little left, only as many as that are out. */
   private boolean throttled(long now) {
@@ -291,8 +313,7 @@
   }
 
   /** How many set-ups may be out. Guards against all clients coming back at once, as after a restart: what the shared
-   * call cannot take queues there until attempts time out, and each of those was work for nothing. A request held here
-   * instead costs nothing and is set up in its turn. */
+   * call cannot take queues there until attempts time out, each for nothing; held here, a request costs nothing. */
   private void learnWindow(long now, boolean slow, long latency) {
     if (!slow) {
       window = Math.min(WINDOW_MOST, Math.sqrt(window * window + 2 * share)); // many see few successes each
@@ -317,16 +338,16 @@
     return walk(now, job, false);
   }
 
-  /** The walk: from the turn's start, the first server that is not crowded and passes the load check; else, unless
-   * {@code strict}, the least slow with room. None means: wait. Without a group it goes round the rotation by the
-   * index; with one round the group's homes, from a start that moves on with each request, and where crossing zones
-   * costs anything a home in the own zone goes before one elsewhere. */
+  /** The walk: the first server that is not crowded and passes the load check, by its report where there is one; else,
+   * unless {@code strict}, the least slow with room. None means: wait. Without a group it goes round the rotation by
+   * the index; with one round its homes, those in the own zone first where crossing costs, and the coolest known. */
   private Node walk(long now, Job job, boolean strict) {
     List<Node> around = job.group == null ? rotation : homes(now, job);
-    int start = job.group == null ? index : start(job, around);
+    int start = job.group == null ? index : 0;
     double reserve = strict ? 1 : 1 - RESERVE * share * (1 - value(job)); // a part of one of many's is no connection
     Node good = null;
     Node best = null;
+    double coolest = Double.MAX_VALUE;
     double least = FULL * shortestAim;
     for (int step = 0; step < around.size(); step++) {
       Node next = around.get((start + step) % around.size());
@@ -336,16 +357,22 @@
       double slow = slow(now, next);
       double due = due(next);
       double grain = next.cold ? next.luck : GRAIN;
-      if (slow == 0 && next.load + job.load <= BOUND * totalLoad * next.weight / totalSize + grain * job.load) {
+      boolean known = next.known(now, FRESH);
+      boolean room = known ? next.heat < HOT
+          : next.load + job.load <= BOUND * totalLoad * next.weight / totalSize + grain * job.load;
+      boolean near = settings.crossZonePrice() <= 0 || settings.zone().equals(next.info.zone());
+      if (slow == 0 && room) {
         if (job.group == null) {
           return checked(now, job, start + step);
         }
-        if (settings.crossZonePrice() <= 0 || settings.zone().equals(next.info.zone())) {
+        if (near && !asks) {
           return next;
         }
-        good = good == null ? next : good;
+        double heat = (known ? next.heat : HOT) + (near ? 0 : ELSEWHERE);
+        good = heat < coolest ? next : good;
+        coolest = Math.min(coolest, heat);
       }
-      double cost = slow > 0 ? slow : -due / after(job, next);
+      double cost = slow > 0 ? slow : known ? next.heat : -due / after(job, next);
       best = cost < least ? next : best;
       least = Math.min(least, cost);
     }
@@ -366,8 +393,7 @@
     return settings.value().byWork() ? type.worth() : type.worth() / load;
   }
 
-  /** What a server bears of this balancer's, its groups with it. Guards against groups spread thin, and against servers
-   * that bear many of them looking free. */
+  /** What a server bears of this balancer's. Guards against servers that bear many thin groups looking free. */
   private double bears(Node node) {
     return node.load + node.groups.size() * groupCost();
   }
@@ -397,7 +423,7 @@
    * times its part. Guards against every server paying for every group. */
   private List<Node> homes(long now, Job job) {
     List<Node> homes = new ArrayList<>();
-    double wanted = SPREAD * totalSize * part(job);
+    double wanted = SPREAD * totalSize * job.group.seen / (seen + PRIOR); // few sightings hardly move the prior
     for (Node node : order(job)) {
       if (homes.size() >= LEAST_HOMES && wanted <= 0) {
         break;
@@ -407,46 +433,30 @@
         wanted -= node.weight;
       }
     }
-    return homes;
-  }
-
-  /** Where a group's walk starts: spread over its due servers, lest all balancers fill the first. */
-  private int start(Job job, List<Node> homes) {
-    double skip = job.turn * SPAN * totalSize * part(job);
+    double skip = job.turn * SPAN * totalSize * job.group.seen / (seen + PRIOR); // lest all balancers fill the first
     int start = 0;
     while (start < homes.size() && skip >= homes.get(start).weight) {
       skip -= homes.get(start++).weight;
     }
-    return start;
-  }
-
-  /** The group's part of all requests, as far as this balancer saw: few sightings hardly move the prior. */
-  private double part(Job job) {
-    return job.group.seen / (seen + PRIOR);
+    Collections.rotate(homes, -start);
+    return homes;
   }
 
   private List<Node> order(Job job) {
     if (job.group.order == null) {
       job.group.order = new ArrayList<>(rotation);
-      rotation.forEach(node -> node.rank = rank(job.request.group(), node)); // once each, not at each comparison
+      for (Node node : rotation) { // weighted by size, so that a large server is the first home of more groups
+        node.rank = -Math.log(Ledger.mix(job.request.group(), node.info.name())) / node.info.size();
+      }
       job.group.order.sort(Comparator.comparingDouble(node -> node.rank));
     }
     return job.group.order;
   }
 
-  /** Weighted by size, so that a large server is the first home of more groups. */
-  private double rank(String group, Node node) {
-    long mixed = group.hashCode() * 0x9E3779B97F4A7C15L;
-    mixed ^= node.info.name().hashCode() * 0xC2B2AE3D27D4EB4FL;
-    mixed = (mixed ^ mixed >>> 29) * 0xBF58476D1CE4E5B9L;
-    return -Math.log(Math.max(((mixed ^ mixed >>> 32) >>> 11) / (double) (1L << 53), 1e-15)) / node.info.size();
-  }
-
   /** How long messages take at a server, 0 when they are not slow. Guards against a server that nobody has told of
    * since the own connections there were moved: the first one back is a trial, and more wait for what it tells. */
   private double slow(long now, Node node) {
-    boolean known = now - Math.max(node.slowAt, node.trialAt) < SLOW_MEMORY;
-    return known && node.slow > CROWDED * shortestAim ? node.slow : 0;
+    return now - Math.max(node.slowAt, node.trialAt) < SLOW_MEMORY && node.slow > CROWDED * shortestAim ? node.slow : 0;
   }
 
   private boolean usable(long now, Job job, Node node) {
@@ -483,8 +493,7 @@
     if (warmth(now, node) >= 1) {
       return Double.MAX_VALUE;
     }
-    decay(now);
-    double ends = rate * node.weight / (warmSize > 0 ? warmSize : totalSize); // by what those that are warm bear
+    double ends = rate.at(now) * node.weight / (warmSize > 0 ? warmSize : totalSize); // by what warm ones bear
     // A proxy just started has seen hardly any end; but what is wanted here comes anew within the cold time.
     double due = jobs.size() * node.weight / totalSize / settings.coldTime();
     double perMicro = COLD_CAUTION * settings.coldMultiple() * Math.max(ends, due);
@@ -501,8 +510,7 @@
     return grown >= 1 ? 1 : settings.coldShare() + (1 - settings.coldShare()) * grown;
   }
 
-  /** What a unit of load is worth at most, and sizes, at this moment: a cold server counts with the part that it has,
-   * in due loads and groups' parts. */
+  /** What a unit of load is worth at most, and sizes, now: a cold server counts with the part that it has. */
   private void weigh(long now) {
     mostWorth = settings.classes().stream().mapToDouble(type -> worth(type, usual(type))).max().orElse(1);
     totalSize = warmSize = 0;
@@ -515,11 +523,6 @@
     }
   }
 
-  private void decay(long now) {
-    rate *= Math.exp((rateAt - now) / MEMORY);
-    rateAt = now;
-  }
-
   private void send(long now, Job job, Node node, long left) {
     if (job.type.effect() != Effect.SAFE && !job.mayHaveRun) {
       job.ranAt = now;
@@ -541,7 +544,7 @@
   }
 
   private void record(long now, String client, Node node) {
-    if (client != null) {
+    if (client != null && node != null && node.ready) {
       entries.put(client, new Entry(node, now));
     }
   }
@@ -554,15 +557,7 @@
     tenants.merge(String.valueOf(job.request.tenant()), 1, Integer::sum);
     job.node.trialAt = job.node.open++ == 0 ? now : job.node.trialAt;
     carry(job, job.load);
-    hold(job, 1);
-  }
-
-  private void hold(Job job, int more) {
-    pairs -= job.node.groups.size();
-    if (job.group != null && job.node.groups.merge(job.group, more, Integer::sum) == 0) {
-      job.node.groups.remove(job.group);
-    }
-    pairs += job.node.groups.size();
+    pairs += job.group == null ? 0 : job.node.hold(job.group, 1);
   }
 
   private void carry(Job job, double load) {
@@ -605,11 +600,8 @@
       settingUp--;
       job.node.settingUp--;
       // Guards against a server that lets everybody in and sheds the newest: only one that is kept clears it.
-      if (job.node.sheds) {
-        job.node.provenAt = now + YOUNG;
-      } else {
-        job.node.strikes = Math.max(0, job.node.strikes - 1);
-      }
+      job.node.provenAt = job.node.sheds ? now + YOUNG : job.node.provenAt;
+      job.node.strikes = Math.max(0, job.node.strikes - (job.node.sheds ? 0 : 1));
       learnWindow(now, latency > setUpAim, latency); // a slower one has queued somewhere
       retryHeld(now);
     }
@@ -627,10 +619,9 @@
     job.node.settingUp -= job.open ? 0 : 1;
     settingUp -= job.open ? 0 : 1;
     carry(job, -job.load);
-    hold(job, -1);
+    pairs += job.group == null ? 0 : job.node.hold(job.group, -1);
     job.mayHaveRun |= !outcome.neverRan;
-    decay(now);
-    rate += job.open && outcome == Outcome.SERVED ? 1 / MEMORY : 0;
+    rate.add(now, job.open && outcome == Outcome.SERVED ? 1 : 0);
     boolean failedSetUp = !job.open && outcome != Outcome.SERVED && outcome != Outcome.CANCELLED;
     if (failedSetUp) {
       learnWindow(now, true, latency);
@@ -689,8 +680,7 @@
     return usual == null || usual.told < LEAST_LOADS ? meanLoad : usual.load;
   }
 
-  /** Guards against loads expected when little was known, as after a restart: a server with many connections not told
-   * yet then seems to have room beside one with a few that were. */
+  /** Guards against servers with many connections not told of yet, as after a restart, seeming to have room. */
   private void expect(Job job) {
     if (!job.told && job.out > 0) {
       double load = usual(job.type);
@@ -711,10 +701,7 @@
   }
 
   /** Guards against a crowded server keeping its clients. Delays grow by what is asked of it beyond what it can do, and
-   * all balancers hear the same: each moves just its own part of what is too much and lets the rest drain, so that
-   * together they neither move too little nor, in step, too many. Those not at home here go first (that frees the
-   * group's cost), then those worth least, the heaviest of them first: where a home has room for them, or anyway when
-   * nobody is served here. Amounts under one connection are chances. */
+   * all balancers hear the same: each moves its own part of what is too much, lest all, in step, move too many. */
   private void relieve(long now, Node node) {
     double slow = slow(now, node);
     if (slow < JAMMED * shortestAim || node.slowAt <= node.relievedAt) {
@@ -723,16 +710,20 @@
     node.relievedAt = now;
     double asked = Math.max(1, 1 + node.growth); // of what it can do
     crowd(node, Math.min(CAP_PART, 1 / asked));
-    boolean lost = slow >= FULL * shortestAim; // nobody is served here
-    List<Job> here = new ArrayList<>(jobs.values()); // without a group there are no homes to go to
-    here.removeIf(job -> job.node != node || !job.open || job.moved || job.group == null);
+    relieve(now, node, node.load * (1 - Math.max(0, 1 - slow / SECOND) / asked), slow >= FULL * shortestAim);
+  }
+
+  /** Moves so much load off a server: first what is not at home here (that frees the group's cost), then what is worth
+   * least, the heaviest of it first; where a home has room, or {@code anyway}. A part of a connection is a chance. */
+  private void relieve(long now, Node node, double most, boolean anyway) {
+    List<Job> here = new ArrayList<>(jobs.values());
+    here.removeIf(job -> job.node != node || !job.open || job.moved || job.group == null); // no group, no homes
     here.forEach(job -> job.foreign = !homes(now, job).contains(node));
     here.sort(Comparator.comparing((Job job) -> !job.foreign).thenComparing(this::value)
         .thenComparing(job -> -job.load));
-    double most = node.load * (1 - Math.max(0, 1 - slow / SECOND) / asked);
     for (Job job : here) {
       double part = most / job.load;
-      if (part > 0 && (lost || walk(now, job, true) != null)) {
+      if (part > 0 && (anyway || walk(now, job, true) != null)) {
         most -= job.load;
         if (random.nextDouble() < part) {
           move(job);
@@ -783,7 +774,14 @@
     weigh(now);
     for (Job job : jobs.values()) {
       expect(job);
-      clear(now, job);
+      Long since = job.open && !job.moved && job.node.info != null ? out.get(job.node.info.name()) : null;
+      if (since != null && random.nextDouble() * Math.max(1, since + CLEAR - now) < LOOK) {
+        move(job); // guards against clients cut off at a server taken out, at an even pace, before it is restarted
+      }
+    }
+    if (asks && random.nextDouble() < ASK_RATE * LOOK * jobs.size()) {
+      rotation.stream().filter(node -> node.open > 0 && now - node.askedAt > FRESH / 2)
+          .max(Comparator.comparing(node -> node.load * (now - node.toldAt))).ifPresent(node -> ask(now, node));
     }
     for (Node node : rotation) {
       relieve(now, node);
--- a/proxy/src/main/java/amberhoist/drill/Codec.java
+++ b/proxy/src/main/java/amberhoist/drill/Codec.java
@@ -138,7 +138,7 @@
     Message m = message;
     Balancer balancer = instance.balancer;
     if (name.equals("PowerOn")) {
-      return () -> instance.start(now, m.settings, m.seed);
+      return () -> instance.start(now, m.settings, m.reportField, m.seed);
     }
     if (name.equals("Retire")) {
       return instance::stop;
@@ -158,7 +158,8 @@
       };
       case "Expired" -> () -> balancer.departed(now, m.ticket);
       case "Wake" -> () -> balancer.timer(now, m.token);
-      case "Health", "Inbox" -> () -> {}; // answers to what no balancer here asks for
+      case "Health" -> () -> instance.report(now, m.server, m.report);
+      case "Inbox" -> () -> {}; // no balancer here talks to others
       default -> throw new IllegalArgumentException("unknown message " + name);
     };
     return balancer == null ? () -> {} : event;
--- a/proxy/src/main/java/amberhoist/drill/Commands.java
+++ b/proxy/src/main/java/amberhoist/drill/Commands.java
@@ -47,6 +47,11 @@
     }
   }
 
+  @Override
+  public void ask(String server) {
+    put("Poll", null, 0, "server", server, null, 0);
+  }
+
   @Override
   public void timer(long at, long token) {
     put("Timer", "instant", at, null, null, "name", token);
--- a/proxy/src/main/java/amberhoist/drill/Message.java
+++ b/proxy/src/main/java/amberhoist/drill/Message.java
@@ -28,6 +28,8 @@
   List<Server> rows;
   long seed;
   Settings settings;
+  int reportField;
+  final List<Double> report = new ArrayList<>();
   private String type;
   private String tenant;
   private String client;
@@ -62,7 +64,16 @@
         case "mode" -> mode = kind(in.getText());
         case "rows" -> rows = rows(in);
         case "init-seed" -> seed = in.getValueAsLong();
-        case "settings" -> settings = SettingsReader.read(in);
+        case "settings" -> {
+          SettingsReader reader = SettingsReader.of(in);
+          settings = reader.settings();
+          reportField = reader.reportField();
+        }
+        case "health-info" -> {
+          while (in.nextToken() != JsonToken.END_ARRAY) {
+            report.add(in.getValueAsDouble());
+          }
+        }
         case "tier-class" -> type = text(in);
         case "account" -> tenant = text(in);
         case "affinity" -> client = text(in);
@@ -89,6 +100,8 @@
     mode = null;
     rows = null;
     settings = null;
+    reportField = -1;
+    report.clear();
   }
 
   private static String text(JsonParser in) throws IOException {
--- a/proxy/src/main/java/amberhoist/drill/Session.java
+++ b/proxy/src/main/java/amberhoist/drill/Session.java
@@ -4,6 +4,7 @@
 import amberhoist.decide.Policy;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Hosts one balancer for each instance number; the instances share nothing. */
@@ -12,16 +13,25 @@
   static final class Instance {
     final Commands commands;
     Balancer balancer;
+    private int reportField = -1;
 
     private Instance(Commands commands) {
       this.commands = commands;
     }
 
-    void start(long now, Balancer.Settings settings, long seed) {
+    void start(long now, Balancer.Settings settings, int itsReportField, long seed) {
+      reportField = itsReportField;
       balancer = new Policy();
       balancer.start(now, settings, seed, commands);
     }
 
+    /** What a probe brought; without a report it is as if it had not been asked. */
+    void report(long now, String server, List<Double> fields) {
+      if (reportField >= 0 && reportField < fields.size()) {
+        balancer.report(now, server, fields.get(reportField));
+      }
+    }
+
     void stop() {
       balancer = null;
     }
--- a/proxy/src/main/java/amberhoist/drill/SettingsReader.java
+++ b/proxy/src/main/java/amberhoist/drill/SettingsReader.java
@@ -21,14 +21,12 @@
  * the default given beside it here, each on the careful side.
  */
 public final class SettingsReader {
+  private static final String HEAT = "x0";
+
   private final Map<String, String> flat = new LinkedHashMap<>();
 
   private SettingsReader() {}
 
-  static Settings read(JsonParser in) throws IOException {
-    return of(in).settings();
-  }
-
   /** Reads the object whose opening brace is the parser's current token. */
   public static SettingsReader of(JsonParser in) throws IOException {
     if (in.currentToken() != JsonToken.START_OBJECT) {
@@ -79,7 +77,23 @@
         whole("rules.cold", 30_000_000),
         number("rules.overload-factor", 1),
         whole("rules.fall", 1_000_000),
-        value());
+        value(),
+        reportField() >= 0);
+  }
+
+  /**
+   * Where a load report says what is asked of a server over what it can do, among its fields from 0; -1 where servers
+   * may not be asked, or do not say that.
+   */
+  int reportField() {
+    if (!flag("limits.probing")) {
+      return -1;
+    }
+    int field = 0;
+    while (flat.containsKey("reporting.fields." + field) && !HEAT.equals(flat.get("reporting.fields." + field))) {
+      field++;
+    }
+    return flat.containsKey("reporting.fields." + field) ? field : -1;
   }
 
   private Value value() {
--- a/proxy/src/main/java/amberhoist/front/ProviderSide.java
+++ b/proxy/src/main/java/amberhoist/front/ProviderSide.java
@@ -12,6 +12,9 @@
    */
   long dial(long invocation, Connection client, String provider);
 
+  /** Asks a provider for its load report, which the core is told, should one come. */
+  void ask(String provider);
+
   /** The connection stands: says what is asked of the provider, and that the proxy waits so long. */
   void forward(Connection provider, long millis);
 }
--- a/proxy/src/main/java/amberhoist/front/Switchboard.java
+++ b/proxy/src/main/java/amberhoist/front/Switchboard.java
@@ -66,6 +66,11 @@
     client(client, ClientSide::move);
   }
 
+  @Override
+  public void ask(String provider) {
+    providers.ask(provider);
+  }
+
   @Override
   public void watch() {
     watch.run();
--- a/proxy/src/main/java/amberhoist/front/line/LineProviders.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineProviders.java
@@ -33,6 +33,7 @@
   private final Counters counters;
   private final AddressBook addresses;
   private final BiConsumer<String, Throwable> undialled;
+  private final LineReports reports;
   private Core core;
 
   /** Providers on this transport; {@code undialled} is told of one that no socket could be had for. */
@@ -43,11 +44,13 @@
     this.counters = counters;
     this.addresses = addresses;
     this.undialled = undialled;
+    reports = new LineReports(loop, transport, addresses);
   }
 
   /** Names the core. */
   public void wire(Core theCore) {
     core = theCore;
+    reports.wire(theCore);
   }
 
   @Override
@@ -67,6 +70,11 @@
     }
   }
 
+  @Override
+  public void ask(String provider) {
+    reports.ask(provider);
+  }
+
   @Override
   public void connected(Connection c) {
     core.connected(loop.now(), c.invocation(), c.number());
--- a/proxy/src/main/java/amberhoist/metrics/Counters.java
+++ b/proxy/src/main/java/amberhoist/metrics/Counters.java
@@ -33,6 +33,8 @@
     MOVED,
     SILENT,
     DELAYS,
+    REPORTS_ASKED,
+    REPORTS,
     ENDED_SERVED,
     ENDED_MOVED_AWAY,
     ENDED_RESET,
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -86,13 +86,31 @@
    */
   public Connection dial(InetSocketAddress address, long invocation, Connection client, Handler handler)
       throws IOException {
+    Connection c = provider(handler);
+    c.invocation = invocation;
+    c.peer = client.number;
+    return connect(c, address);
+  }
+
+  /**
+   * Begins a connection to a provider that no client waits for.
+   *
+   * @throws IOException when no socket can be had
+   */
+  public Connection dial(InetSocketAddress address, Handler handler) throws IOException {
+    return connect(provider(handler), address);
+  }
+
+  private Connection provider(Handler handler) throws IOException {
     AsynchronousSocketChannel channel = AsynchronousSocketChannel.open(loop.group());
     Connection c = new Connection(channel, Role.PROVIDER, handler, limits.linger());
     c.number = connections.add(c);
-    c.invocation = invocation;
-    c.peer = client.number;
     lobby.taken(c);
     noDelay(c);
+    return c;
+  }
+
+  private Connection connect(Connection c, InetSocketAddress address) throws IOException {
     try {
       c.channel.connect(address, c.number, connected);
     } catch (RuntimeException fault) {
--- a/proxy/src/test/java/amberhoist/decide/Bench.java
+++ b/proxy/src/test/java/amberhoist/decide/Bench.java
@@ -36,7 +36,7 @@
 
   static Settings settings(boolean subscribe, Value value, RequestClass... classes) {
     return new Settings("z", 0, 2, List.of(classes), subscribe, 10 * S, 4, 600 * MS, 0.02, 0.02, 0.3, 9 * S,
-        2.5, 3 * S, value);
+        2.5, 3 * S, value, false);
   }
 
   static RequestClass type(Effect effect, Scope scope) {
@@ -155,6 +155,11 @@
     acts.add(new Act("subscribe", 0, null, now));
   }
 
+  @Override
+  public void ask(String server) {
+    acts.add(new Act("ask", 0, server, now));
+  }
+
   @Override
   public void timer(long at, long token) {
     timerAt = at;
--- a/proxy/src/test/java/amberhoist/decide/PolicyTest.java
+++ b/proxy/src/test/java/amberhoist/decide/PolicyTest.java
@@ -465,13 +465,13 @@
     List<Balancer.RequestClass> none = List.of();
     assertThrows(IllegalArgumentException.class, () -> new Balancer.Settings(
         "z", 0, 0, none, false, 0, 1, 0, 0, 0, 0.3, S, 2, S,
-        Balancer.Value.NONE), "no balancer");
+        Balancer.Value.NONE, false), "no balancer");
     assertThrows(IllegalArgumentException.class, () -> new Balancer.Settings(
         "z", 0, 1, none, false, -1, 1, 0, 0, 0, 0.3, S, 2, S,
-        Balancer.Value.NONE), "negative time");
+        Balancer.Value.NONE, false), "negative time");
     assertThrows(IllegalArgumentException.class, () -> new Balancer.Settings(
         "z", 0, 1, none, false, 0, 1, 0, 0, 0, 0.3, S, 0, S,
-        Balancer.Value.NONE), "cold multiple 0");
+        Balancer.Value.NONE, false), "cold multiple 0");
   }
 
   /** Fails every send from the given action on, those that follow included; returns the actions seen. */
--- a/proxy/src/test/java/amberhoist/decide/StormTest.java
+++ b/proxy/src/test/java/amberhoist/decide/StormTest.java
@@ -16,7 +16,7 @@
   private static Bench bench(int balancers) {
     Bench bench = new Bench();
     bench.start(new Settings("z", 0, balancers, List.of(Bench.type(Effect.SAFE, Scope.ALL)), false, 10 * Bench.S, 4,
-        600 * Bench.MS, 0, 0, 0.3, 9 * Bench.S, 2.5, 3 * Bench.S, Value.NONE));
+        600 * Bench.MS, 0, 0, 0.3, 9 * Bench.S, 2.5, 3 * Bench.S, Value.NONE, false));
     bench.full("a", "b", "c", "d");
     return bench;
   }
--- a/proxy/src/test/java/amberhoist/decide/WorthTest.java
+++ b/proxy/src/test/java/amberhoist/decide/WorthTest.java
@@ -30,7 +30,7 @@
   private static Bench jammedOnce(Value value, int balancers) {
     Bench bench = new Bench();
     bench.start(new Balancer.Settings("z", 0, balancers, List.of(type("plain", 1), type("urgent", 3)), false, 10 * S, 4,
-        600 * MS, 0.02, 0.02, 0.3, 9 * S, 2.5, 3 * S, value));
+        600 * MS, 0.02, 0.02, 0.3, 9 * S, 2.5, 3 * S, value, false));
     bench.full("a");
     for (long id = 0; id < 30; id++) {
       ask(bench, id, "plain", "steady", LOAD);
--- a/proxy/src/test/java/amberhoist/drill/DrillTest.java
+++ b/proxy/src/test/java/amberhoist/drill/DrillTest.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class DrillTest {
@@ -62,6 +63,25 @@
     assertEquals(0, code);
   }
 
+  @Test
+  void whereServersMayBeAskedTheirReportsAreReadByTheFieldThatSaysTheLoad() {
+    String many = ON.replace("\"balancers\":2", "\"balancers\":9").replace("\"limits\":{",
+        "\"reporting\":{\"fields\":[\"load_share\",\"x0\"],\"source\":\"probe\"},\"limits\":{\"probing\":true,")
+        .replace("\"rows\":[", "\"rows\":[{\"server\":\"elm\",\"rack-zone\":\"north\",\"health\":\"active\"},");
+    String asking = request(1).replace("\"affinity\"", "\"group\":\"g\",\"affinity\"");
+    String out = drill(batch(1, 0, many), batch(2, 0, asking),
+        batch(3, 0, "{\"m\":\"Health\",\"server\":\"oak\",\"state-code\":1,\"health-info\":[0.9,0.1]}"),
+        batch(4, 0, "{\"m\":\"Health\",\"server\":\"elm\",\"state-code\":1,\"health-info\":[0.1,0.7]}"));
+    List<String> replies = out.lines().toList();
+    assertTrue(replies.get(1).contains("{\"m\":\"Poll\",\"server\":\"oak\"}"), out);
+    assertTrue(replies.get(1).contains("{\"m\":\"Poll\",\"server\":\"elm\"}"), out);
+    assertFalse(replies.get(2).contains("Deliver"), out);
+    assertTrue(replies.get(3).contains("\"m\":\"Deliver\",\"ticket\":1,\"server\":\"oak\""), out);
+    String none = drill(batch(1, 0, many), batch(2, 0, asking),
+        batch(3, 0, "{\"m\":\"Health\",\"server\":\"oak\",\"state-code\":4}"));
+    assertFalse(none.contains("Fault"), none);
+  }
+
   @Test
   void retireAndPowerOnInOneBatchStartAfresh() {
     String out = drill(batch(1, 0, ON + "," + request(1)), batch(2, 0, "{\"m\":\"Retire\"}," + ON),
--- a/proxy/src/test/java/amberhoist/service/StoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/StoriesTest.java
@@ -331,4 +331,28 @@
       assertTrue(peers.provider(0).line().contains("again"));
     }
   }
+
+  @Test
+  public void loadReportsAreAskedForOnConnectionsOfTheirOwnAndSpoiltOnesTellNothing() throws Exception {
+    try (Peers peers = new Peers(3)) {
+      String many = peers.config(peers.directory).replace("\"settings\":{", "\"settings\":{\"balancers\":50,"
+          + "\"reporting\":{\"fields\":[\"x0\"],\"source\":\"probe\"},")
+          .replace("\"max-attempts\"", "\"probing\":true,\"max-attempts\"");
+      peers.reload(many);
+      peers.client(opening("k", 3000, ""));
+      List<String> answers = List.of("PONG x0=0.5\r\n", "PONG what\r\n", "x".repeat(5000));
+      for (int i = 0; i < answers.size(); i++) {
+        Peer asked = peers.provider(i);
+        assertEquals("STATS", asked.line());
+        asked.send(answers.get(i));
+        String end = asked.line();
+        assertTrue(end, List.of("FIN", "RESET").contains(end));
+      }
+      while (peers.service.count(Count.REPORTS) < 1) {
+        Thread.onSpinWait();
+      }
+      assertEquals(3, peers.service.count(Count.REPORTS_ASKED));
+      assertEquals(1, peers.service.count(Count.REPORTS));
+    }
+  }
 }
