Agree on a sequence of changes: durable log, members by a library, faults in virtual time

Need: one policy for the whole fleet, first its agreement (docs/design/policy.md). A log file of checksummed frames that cuts a torn end and refuses any flipped bit; MicroRaft over a transport, executor, clock and log from outside; the sequence with compare and set and answers that repeat; the same members in virtual time under crashes, failing disks, stops and cut links, with a checker and seven defects that prove it (lab group). Nothing of the platform's run loads it; LayersTest holds it.

Not built yet: leases, steps of a change, peers' sockets, the rig of processes, the operators' command.

--- a/lab/src/main/java/amberhoist/lab/LabCommand.java
+++ b/lab/src/main/java/amberhoist/lab/LabCommand.java
@@ -17,7 +17,7 @@
 
 /** The laboratory's commands. */
 @Command(name = "lab", description = "Stand-ins and tools to try and measure a proxy with.",
-    subcommands = {RunCommand.class, MutantsCommand.class, FuzzCommand.class})
+    subcommands = {RunCommand.class, MutantsCommand.class, GroupCommand.class, FuzzCommand.class})
 final class LabCommand implements Runnable {
   @Spec
   private CommandSpec spec;
--- a/proxy/src/test/java/amberhoist/LayersTest.java
+++ b/proxy/src/test/java/amberhoist/LayersTest.java
@@ -57,4 +57,15 @@
   static final ArchRule ONLY_THE_LOG_KNOWS_ITS_BACKEND =
       noClasses().that().resideOutsideOfPackage("amberhoist.log..").should().dependOnClassesThat()
           .resideInAnyPackage("ch.qos.logback..", "org.slf4j.simple..");
+
+  @ArchTest
+  static final ArchRule THE_GROUP_OPENS_NOTHING_AND_READS_NO_CLOCK =
+      noClasses().that().resideInAnyPackage("amberhoist.group", "amberhoist.rollout..").should().dependOnClassesThat()
+          .resideInAnyPackage("java.net..", "java.nio.file..", "java.nio.channels..", "org.slf4j..",
+              "amberhoist.net..", "amberhoist.clock..", "amberhoist.core..", "amberhoist.decide..");
+
+  @ArchTest
+  static final ArchRule THE_PLATFORM_SIDE_LOADS_NO_GROUP =
+      noClasses().that().resideOutsideOfPackages("amberhoist.group..", "amberhoist.rollout..").should()
+          .dependOnClassesThat().resideInAnyPackage("amberhoist.group..", "amberhoist.rollout..", "io.microraft..");
 }
