--- a/lab/src/main/java/amberhoist/lab/GroupCommand.java
+++ b/lab/src/main/java/amberhoist/lab/GroupCommand.java
@@ -10,8 +10,8 @@
 
 /** Plays groups of members under faults in virtual time. */
 @Command(name = "group", description = {
-    "Plays groups of members in virtual time: crashes, torn logs, failing disks, stopped processes, links cut one way or",
-    "both or flapping, and operators who change the policy at once. Ends with 1 when a rule breaks."})
+    "Plays groups of members in virtual time: crashes, torn logs, failing disks, stopped processes, links cut one way",
+    "or both or flapping, and operators who change the policy at once. Ends with 1 when a rule breaks."})
 final class GroupCommand implements Callable<Integer> {
   @Option(names = "--members", paramLabel = "N", defaultValue = "3", description = "default: ${DEFAULT-VALUE}")
   private int members;
--- a/lab/src/main/java/amberhoist/lab/group/GroupWorld.java
+++ b/lab/src/main/java/amberhoist/lab/group/GroupWorld.java
@@ -24,8 +24,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One run of a group in virtual time: the real members and logs between emulated links, disks and operators, under faults
- * drawn from a seed; in the end all is whole, and the checker judges what was recorded.
+ * One run of a group in virtual time: the real members and logs between emulated links, disks and operators, under
+ * faults drawn from a seed; in the end all is whole, and the checker judges what was recorded.
  */
 public final class GroupWorld {
   private static final long START = 1_000_000_000_000L; // micros
