--- a/lab/src/main/java/amberhoist/lab/group/GroupWorld.java
+++ b/lab/src/main/java/amberhoist/lab/group/GroupWorld.java
@@ -331,8 +331,9 @@
       copies.add(disk.read());
       try {
         Log log = new Log(Defects.disk(mutant, disk, copies));
-        member = new GroupMember(self, all, log, new Rollout(Defects.sequence(mutant)), new Links(ofLife), new Turns(ofLife),
-            new MonotonicClock(), chance.bits(), this);
+        Rollout rollout = new Rollout(Defects.sequence(mutant));
+        member = new GroupMember(self, all, log, rollout, new Links(ofLife), new Turns(ofLife), new MonotonicClock(),
+            chance.bits(), this);
       } catch (IOException refused) {
         throw new IllegalStateException(name() + " refuses its log", refused);
       }
