--- a/proxy/src/main/java/amberhoist/rollout/Rollout.java
+++ b/proxy/src/main/java/amberhoist/rollout/Rollout.java
@@ -2,12 +2,6 @@
 
 import amberhoist.rollout.Sequence.Change;
 import amberhoist.rollout.Sequence.Verdict;
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.Arrays;
 import java.util.Set;
 import java.util.TreeSet;
@@ -35,7 +29,7 @@
   /** The command by which a change is proposed. */
   public static byte[] propose(Change change) {
     byte[] bytes = change.bytes();
-    return write(out -> {
+    return Bytes.write(out -> {
       out.writeByte(PROPOSE);
       out.writeInt(bytes.length);
       out.write(bytes);
@@ -49,7 +43,7 @@
 
   /** The command that tells that a member has prepared this version: it decides by none until that is concluded. */
   public static byte[] prepared(String member, long version) {
-    return write(out -> {
+    return Bytes.write(out -> {
       out.writeByte(PREPARED);
       out.writeUTF(member);
       out.writeLong(version);
@@ -58,7 +52,7 @@
 
   /** The command that ends the change to this version; of several the first counts. */
   public static byte[] conclude(long version, boolean force) {
-    return write(out -> {
+    return Bytes.write(out -> {
       out.writeByte(CONCLUDE);
       out.writeLong(version);
       out.writeBoolean(force);
@@ -67,7 +61,7 @@
 
   /** Takes the log's next command; what became of a change, when it is one that is proposed, else null. */
   public Verdict take(byte[] command) {
-    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(command))) {
+    return Bytes.read(command, in -> {
       int kind = in.readByte();
       switch (kind) {
         case PROPOSE:
@@ -93,9 +87,7 @@
         default:
           throw new IllegalArgumentException("a command of kind " + kind + ", by a later version");
       }
-    } catch (IOException cut) {
-      throw new UncheckedIOException(cut);
-    }
+    });
   }
 
   private Verdict propose(byte[] bytes) {
@@ -133,10 +125,9 @@
   /** All of it, for a member that has been away for long. */
   public byte[] snapshot() {
     byte[] rest = sequence.snapshot();
-    return write(out -> {
+    return Bytes.write(out -> {
       out.writeLong(inForce);
-      out.writeInt(document.length());
-      out.writeChars(document);
+      Bytes.text(out, document);
       out.writeBoolean(pending);
       out.writeInt(prepared.size());
       for (String member : prepared) {
@@ -149,13 +140,9 @@
 
   /** Goes on from this snapshot in place of what it held. */
   public void install(byte[] snapshot) {
-    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(snapshot))) {
+    Bytes.read(snapshot, in -> {
       inForce = in.readLong();
-      StringBuilder text = new StringBuilder();
-      for (int left = in.readInt(); left > 0; left--) {
-        text.append(in.readChar());
-      }
-      document = text.toString();
+      document = Bytes.text(in);
       pending = in.readBoolean();
       prepared.clear();
       for (int left = in.readInt(); left > 0; left--) {
@@ -164,22 +151,7 @@
       byte[] rest = new byte[in.readInt()];
       in.readFully(rest);
       sequence.install(rest);
-    } catch (IOException cut) {
-      throw new UncheckedIOException(cut);
-    }
-  }
-
-  private interface Writer {
-    void write(DataOutputStream out) throws IOException;
-  }
-
-  private static byte[] write(Writer writer) {
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    try {
-      writer.write(new DataOutputStream(bytes));
-    } catch (IOException never) {
-      throw new UncheckedIOException(never);
-    }
-    return bytes.toByteArray();
+      return null;
+    });
   }
 }
--- a/proxy/src/main/java/amberhoist/rollout/Sequence.java
+++ b/proxy/src/main/java/amberhoist/rollout/Sequence.java
@@ -1,12 +1,5 @@
 package amberhoist.rollout;
 
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -34,16 +27,16 @@
 
     /** The change as the log's command. */
     public byte[] bytes() {
-      return write(out -> {
+      return Bytes.write(out -> {
         out.writeUTF(id);
         out.writeLong(base);
-        text(out, document);
+        Bytes.text(out, document);
       });
     }
 
     /** The change of a log's command. */
     public static Change of(byte[] command) {
-      return read(command, in -> new Change(in.readUTF(), in.readLong(), text(in)));
+      return Bytes.read(command, in -> new Change(in.readUTF(), in.readLong(), Bytes.text(in)));
     }
   }
 
@@ -99,9 +92,9 @@
 
   /** All of it, for a member that has been away for long. */
   public byte[] snapshot() {
-    return write(out -> {
+    return Bytes.write(out -> {
       out.writeLong(version);
-      text(out, document);
+      Bytes.text(out, document);
       out.writeInt(verdicts.size());
       for (Map.Entry<String, Verdict> each : verdicts.entrySet()) {
         out.writeUTF(each.getKey());
@@ -113,9 +106,9 @@
 
   /** Goes on from this snapshot in place of what it held. */
   public void install(byte[] snapshot) {
-    read(snapshot, in -> {
+    Bytes.read(snapshot, in -> {
       version = in.readLong();
-      document = text(in);
+      document = Bytes.text(in);
       verdicts.clear();
       for (int left = in.readInt(); left > 0; left--) {
         verdicts.put(in.readUTF(), new Verdict(in.readBoolean(), in.readLong()));
@@ -123,42 +116,4 @@
       return null;
     });
   }
-
-  private interface Writer {
-    void write(DataOutputStream out) throws IOException;
-  }
-
-  private interface Reader<T> {
-    T read(DataInputStream in) throws IOException;
-  }
-
-  private static byte[] write(Writer writer) {
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    try {
-      writer.write(new DataOutputStream(bytes));
-    } catch (IOException never) {
-      throw new UncheckedIOException(never);
-    }
-    return bytes.toByteArray();
-  }
-
-  private static <T> T read(byte[] bytes, Reader<T> reader) {
-    try {
-      return reader.read(new DataInputStream(new ByteArrayInputStream(bytes)));
-    } catch (IOException cut) {
-      throw new UncheckedIOException(cut);
-    }
-  }
-
-  private static void text(DataOutputStream out, String text) throws IOException {
-    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-    out.writeInt(bytes.length);
-    out.write(bytes);
-  }
-
-  private static String text(DataInputStream in) throws IOException {
-    byte[] bytes = new byte[in.readInt()];
-    in.readFully(bytes);
-    return new String(bytes, StandardCharsets.UTF_8);
-  }
 }
