--- a/lab/src/test/java/amberhoist/lab/group/GroupWorldTest.java
+++ b/lab/src/test/java/amberhoist/lab/group/GroupWorldTest.java
@@ -22,6 +22,14 @@
     }
   }
 
+  /** A follower with entries behind its latest snapshot; a member with the longest log and the lowest term. */
+  @Test
+  void whatTheLibraryGotStuckInIsGotOutOf() {
+    for (long seed : new long[] {82, 2187}) {
+      assertEquals(List.of(), new GroupWorld(3, 30, seed, GroupMutant.NONE, false).run().violations(), "seed " + seed);
+    }
+  }
+
   @Test
   void runsAreWorthJudging() {
     List<GroupWorld.Outcome> outcomes = play(5, 50, GroupMutant.NONE);
--- a/proxy/src/main/java/amberhoist/group/GroupMember.java
+++ b/proxy/src/main/java/amberhoist/group/GroupMember.java
@@ -12,6 +12,7 @@
 import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.PreVoteResponse;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.statemachine.StateMachine;
@@ -96,10 +97,23 @@
         && request.getPreviousLogIndex() > 0 && request.getPreviousLogIndex() == log.covered()) {
       follow(request);
     } else {
+      if (message instanceof PreVoteResponse response && !response.isGranted() && response.getTerm() > term() + 1) {
+        catchUp(response);
+      }
       node.handle(message);
     }
   }
 
+  /**
+   * Goes on to the term of one that is ahead. The library does not when its pre-vote is rejected for its term: a member
+   * with the longest log and the lowest term then never wins, and the others with shorter logs neither. A request for a
+   * vote, by an empty log, brings the term with it; the vote, where it is given, is one that the other may have.
+   */
+  private void catchUp(PreVoteResponse ahead) {
+    node.handle(log.models().createVoteRequestBuilder().setGroupId(ahead.getGroupId()).setSender(ahead.getSender())
+        .setTerm(ahead.getTerm()).setLastLogTerm(0).setLastLogIndex(0).setSticky(false).build());
+  }
+
   /**
    * Takes entries that follow right behind the latest snapshot while there are entries here, too. The library looks for
    * the entry before them, which only the snapshot has, and would refuse them for ever. So those that are here already
