Tell what may have run by an attempt's phase, and ask again when its connection stands

The bytes are on the wire within the call that starts the write, and its completion is a task behind others; a reset, the end, the dial timer or the attempt's timer handled before it let an unsafe or keyed attempt run twice, or be rejected as harmless. The dial timer could end an attempt whose line was out. - Calls.connected forwarded whatever the choice had been: news of a drain, a suspension or the end of the window of repeats between dial and connection was not looked at. With a drain limit under the dial time that is a send past the limit. - The window of repeats was compared with the time of the decision, not of the line's arrival. - At the last step of a stop all that was owed was rejected over the module's head, also what may have run.

Change: the phases of an attempt are CONNECTING and SENT; SENT means it may have run. Balancer.confirms is asked when the connection stands, and what is not confirmed ends as MOOT, which strikes nobody. Balancer.close ends the making of attempts, and Overdue ends what is out by its phase, so that the module answers. Ruled out: a line half written, since it fits an empty socket buffer whole.

--- a/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/RandomBalancer.java
@@ -17,6 +17,7 @@
   private SplittableRandom random = new SplittableRandom(0);
   private Settings settings;
   private Actions actions;
+  private boolean closing;
 
   @Override
   public void start(long now, Settings theSettings, long seed, Actions theActions) {
@@ -57,7 +58,7 @@
 
   private void call(long now, Request request, int attempts) {
     long left = request.deadline() - now;
-    if (ready.isEmpty() || attempts >= settings.maxAttempts() || left < LEAST) {
+    if (closing || ready.isEmpty() || attempts >= settings.maxAttempts() || left < LEAST) {
       owed.remove(request.id());
       actions.refuse(request.id(), settings.maxRetryAfter());
       return;
@@ -94,6 +95,16 @@
     // it asks for none
   }
 
+  @Override
+  public boolean confirms(long now, long request) {
+    return true;
+  }
+
+  @Override
+  public void close(long now) {
+    closing = true;
+  }
+
   @Override
   public void departed(long now, long request) {
     owed.remove(request);
--- a/proxy/src/main/java/amberhoist/core/Answers.java
+++ b/proxy/src/main/java/amberhoist/core/Answers.java
@@ -84,7 +84,7 @@
     if (it.balanced) {
       balancer.departed(events.now(), number);
     }
-    if (it.phase == Phase.CALLING) {
+    if (it.calling()) {
       commands.abandon(it.provider);
       counters.add(Count.CALL_ABANDONED);
       if (it.balanced) {
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -36,6 +36,7 @@
   private final Calls calls;
   private final Answers answers;
   private final Handovers handovers;
+  private final Overdue overdue;
   private final SilenceWatch silence;
   private final Stopping stopping;
   private Limits limits;
@@ -54,12 +55,14 @@
     this.limits = limits;
     this.timing = timing;
     this.telemetry = telemetry;
-    calls = new Calls(invocations, wheel, events, commands, counters, telemetry, this::over);
+    calls = new Calls(invocations, wheel, events, commands, counters, telemetry, this::over,
+        number -> balancer.confirms(events.now(), number));
     answers = new Answers(invocations, events, commands, counters, telemetry, balancer);
+    overdue = new Overdue(invocations, events, calls, answers, balancer, counters);
     handovers = new Handovers(invocations, wheel, events, answers, calls, () -> this.limits.dial());
     silence = new SilenceWatch(invocations, wheel, events, timing, this::lose);
     stopping = new Stopping(invocations, wheel, events, this::move,
-        number -> answers.giveUp(number, invocations.get(number), this.timing.stopAdvice()));
+        owed -> overdue.close(owed, this.timing.stopAdvice()));
   }
 
   private void event(long time, Runnable body) {
@@ -103,7 +106,7 @@
       long deadline = events.now() + (it.handover == null ? wait : Math.min(wait, Handovers.MOST));
       it.request = new Request(number, arrival.type(), arrival.tenant(), arrival.key(), deadline,
           arrival.hint(), arrival.group(), arrival.retry(), arrival.returning());
-      it.deadlineTimer = wheel.arm(deadline, at -> deadline(at, number));
+      it.deadlineTimer = wheel.arm(deadline, at -> event(at, () -> overdue.deadline(number)));
       if (!limits.names(arrival)) {
         // Guards against an invocation that no provider can use taking a place, and the trust in one.
         counters.add(Count.MALFORMED);
@@ -132,14 +135,14 @@
     event(time, () -> calls.connected(number, provider));
   }
 
-  /** The first line has been written whole to a provider connection: from now on the call may have run. */
+  /** The first line has been written whole to a provider connection. */
   public void written(long time, long number, long provider) {
     event(time, () -> calls.written(number, provider));
   }
 
   /**
-   * An invoker call has ended without UP. A connection that broke before the first line was written whole
-   * counts as one that could not be made.
+   * An attempt has ended without UP. A connection that broke before the first line was forwarded on it counts as one
+   * that could not be made.
    */
   public void callEnded(long time, long number, long provider, Outcome outcome) {
     event(time, () -> calls.ended(number, provider, outcome));
@@ -270,21 +273,6 @@
     });
   }
 
-  /** The last moment for an answer. The balancer answers earlier; this guards the rule should it not. */
-  private void deadline(long time, long number) {
-    event(time, () -> {
-      Invocation it = invocations.get(number);
-      if (it != null && it.phase == Phase.CALLING && it.balanced) {
-        calls.end(number, it, it.written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED);
-      }
-      it = invocations.get(number);
-      if (it != null && it.phase != Phase.UP) {
-        counters.invariant(!it.balanced, "no answer at the deadline");
-        answers.giveUp(number, it, 0);
-      }
-    });
-  }
-
   @Override
   public void send(long request, String server, long timeout) {
     Invocation it = invocations.get(request);
--- a/proxy/src/main/java/amberhoist/core/Invocation.java
+++ b/proxy/src/main/java/amberhoist/core/Invocation.java
@@ -7,10 +7,12 @@
 final class Invocation {
   /** Where it stands. */
   enum Phase {
-    /** No invoker call is out: the balancer holds it. */
+    /** No attempt is out: the balancer holds it. */
     WAITING,
-    /** An invoker call is out. */
-    CALLING,
+    /** An attempt is out whose connection does not stand yet: it has not run. */
+    CONNECTING,
+    /** The first line has been handed to a connection that stands: whatever comes now, the attempt may have run. */
+    SENT,
     /** Client and provider are joined. */
     UP
   }
@@ -27,7 +29,6 @@
   long provider = SlotTable.NONE;
   int calls;
   String called; // the provider of the last call
-  boolean written; // the first line has gone out whole
   long callStart;
   long callEnd;
   Pulse pulse; // of the provider that it is joined to
@@ -44,6 +45,11 @@
     this.handover = handover;
   }
 
+  /** Whether an attempt is out. */
+  boolean calling() {
+    return phase == Phase.CONNECTING || phase == Phase.SENT;
+  }
+
   void cancelCallTimers() {
     cancel(dialTimer);
     cancel(callTimer);
--- a/proxy/src/main/java/amberhoist/core/Stopping.java
+++ b/proxy/src/main/java/amberhoist/core/Stopping.java
@@ -3,6 +3,7 @@
 import amberhoist.core.Invocation.Phase;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
 /**
@@ -22,19 +23,19 @@
   private final Wheel wheel;
   private final EventQueue events;
   private final LongConsumer move;
-  private final LongConsumer giveUp;
+  private final Consumer<List<Long>> close;
   private boolean refusing;
   private Runnable stopped;
   private double due; // moves that have not come to a whole one yet
 
-  /** A stop that moves and gives up invocations in these ways. */
+  /** A stop that moves invocations, and at its end closes those that are still owed an answer, in these ways. */
   Stopping(SlotTable<Invocation> invocations, Wheel wheel, EventQueue events, LongConsumer move,
-      LongConsumer giveUp) {
+      Consumer<List<Long>> close) {
     this.invocations = invocations;
     this.wheel = wheel;
     this.events = events;
     this.move = move;
-    this.giveUp = giveUp;
+    this.close = close;
   }
 
   /** Whether what arrives now is to be rejected. */
@@ -69,7 +70,7 @@
       due -= moves;
       joined.stream().limit(moves).forEach(move::accept);
       if (last) {
-        owed.forEach(giveUp::accept);
+        close.accept(owed);
       }
     });
     if (invocations.size() == 0 && time >= least) {
--- a/proxy/src/main/java/amberhoist/decide/Balancer.java
+++ b/proxy/src/main/java/amberhoist/decide/Balancer.java
@@ -85,6 +85,11 @@
     /** Whether this outcome proves that the attempt never ran. */
     public final boolean neverRan;
 
+    /** Whether a set-up that ended so has failed: not where it was served, or given up for no fault of the server. */
+    boolean failsSetUp() {
+      return this != SERVED && this != CANCELLED && this != MOOT;
+    }
+
     Outcome(boolean neverRan) {
       this.neverRan = neverRan;
     }
@@ -267,6 +272,15 @@
    */
   void report(long now, String server, double heat);
 
+  /**
+   * Whether an attempt whose connection has come up is still to be sent; where not, it ends as {@link Outcome#MOOT}.
+   * Time has passed since it was decided on: its server may have been taken out, or the window of repeats be over.
+   */
+  boolean confirms(long now, long request);
+
+  /** No more attempts are to be made: what is held is answered now, and what is out when it ends. */
+  void close(long now);
+
   /** The client has left, or the answer is overdue; none is owed any more. Attempts still out still end. */
   void departed(long now, long request);
 
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -100,6 +100,7 @@
   private long trustAt;
   private int settingUp;
   private double share; // of what one of few balancers may do to the shared call
+  private boolean closing; // no more attempts
   private boolean asks; // for reports: one of many carries too little to know the servers by
   private double window;
   private long nextAt; // the next set-up, while less than one may be out on average
@@ -259,18 +260,18 @@
   /** Sends a request that has no attempt out, holds it for a better moment, or answers it. */
   private void place(long now, Job job) {
     long left = job.request.deadline() - now;
-    if (job.attempts >= settings.maxAttempts() || left <= MARGIN + (job.attempts == 0 ? 0 : LEAST_TRY)) {
+    if (closing || job.errors > 1 || job.attempts >= settings.maxAttempts()
+        || left <= MARGIN + (job.attempts == 0 ? 0 : LEAST_TRY)) {
       answer(now, job);
       return;
     }
     boolean queued = throttled(now); // its turn comes, so it may wait longer than one that nobody can take
     Node node = queued || asking(now, job) ? null : pick(now, job);
+    boolean hopeless = rotation.isEmpty() && !out.isEmpty(); // all taken out by hand: nobody comes back soon
     long waited = now - job.arrived;
     if (node != null) {
       send(now, job, node, left);
-    } else if (rotation.isEmpty() && !out.isEmpty()) {
-      answer(now, job); // all taken out by hand: nobody comes back soon
-    } else if (waited < job.type.aim() || queued && waited < HOLD_PART * (waited + left)) {
+    } else if (!hopeless && (waited < job.type.aim() || queued && waited < HOLD_PART * (waited + left))) {
       held.add(job);
     } else {
       answer(now, job);
@@ -304,8 +305,7 @@
     }
   }
 
-  /** Retry throttling. Guards against a storm of set-ups that keeps its own cause alive, as at a shared call: a failed
-   * or late one takes trust, one in time gives some. With little left, only as many as that are out. */
+  /** Retry throttling. Guards against a storm that feeds itself: a late set-up takes trust, one in time gives some. */
   private boolean throttled(long now) {
     trust = Math.min(TRUST_MOST, trust + TRUST_DRIP * (now - trustAt));
     trustAt = now;
@@ -338,9 +338,9 @@
     return walk(now, job, false);
   }
 
-  /** The walk: the first server that is not crowded and passes the load check, by its report where there is one; else,
-   * unless {@code strict}, the least slow with room. None means: wait. Without a group it goes round the rotation by
-   * the index; with one round its homes, those in the own zone first where crossing costs, and the coolest known. */
+  /** The walk: the first server not crowded that passes the load check, by its report if any; else, unless strict, the
+   * least slow with room. None means: wait. Without a group it goes round the rotation by the index; with one round
+   * its homes, those in the own zone first where crossing costs, and the coolest known. */
   private Node walk(long now, Job job, boolean strict) {
     List<Node> around = job.group == null ? rotation : homes(now, job);
     int start = job.group == null ? index : 0;
@@ -425,10 +425,7 @@
     List<Node> homes = new ArrayList<>();
     double wanted = SPREAD * totalSize * job.group.seen / (seen + PRIOR); // few sightings hardly move the prior
     for (Node node : order(job)) {
-      if (homes.size() >= LEAST_HOMES && wanted <= 0) {
-        break;
-      }
-      if (usable(now, job, node)) {
+      if ((homes.size() < LEAST_HOMES || wanted > 0) && usable(now, job, node)) {
         homes.add(node);
         wanted -= node.weight;
       }
@@ -484,7 +481,7 @@
   }
 
   private boolean repeatable(long now, Job job, boolean dropsRepeats) {
-    boolean keyed = job.type.effect() == Effect.KEYED && dropsRepeats && now - job.ranAt < job.type.window();
+    boolean keyed = job.type.effect() == Effect.KEYED && dropsRepeats && now - job.ranAt < job.type.window() - MARGIN;
     return !job.mayHaveRun || job.type.effect() == Effect.SAFE || keyed;
   }
 
@@ -573,8 +570,8 @@
 
   /** The final answer, with no attempt out: a refusal where the effect cannot have happened or may repeat. */
   private void answer(long now, Job job) {
-    long advice = (long) (job.type.aim() * (0.5 + random.nextDouble()));
     if (repeatable(now, job, job.type.scope() == Scope.ALL)) {
+      long advice = (long) (job.type.aim() * (0.5 + random.nextDouble()));
       actions.refuse(job.request.id(), Math.min(settings.maxRetryAfter(), advice));
     } else {
       actions.fail(job.request.id());
@@ -599,8 +596,7 @@
       trust = Math.max(0, trust + (latency > job.type.aim() ? -1 : TRUST_GAIN));
       settingUp--;
       job.node.settingUp--;
-      // Guards against a server that lets everybody in and sheds the newest: only one that is kept clears it.
-      job.node.provenAt = job.node.sheds ? now + YOUNG : job.node.provenAt;
+      job.node.provenAt = job.node.sheds ? now + YOUNG : job.node.provenAt; // only one that is kept clears it
       job.node.strikes = Math.max(0, job.node.strikes - (job.node.sheds ? 0 : 1));
       learnWindow(now, latency > setUpAim, latency); // a slower one has queued somewhere
       retryHeld(now);
@@ -622,7 +618,7 @@
     pairs += job.group == null ? 0 : job.node.hold(job.group, -1);
     job.mayHaveRun |= !outcome.neverRan;
     rate.add(now, job.open && outcome == Outcome.SERVED ? 1 : 0);
-    boolean failedSetUp = !job.open && outcome != Outcome.SERVED && outcome != Outcome.CANCELLED;
+    boolean failedSetUp = !job.open && outcome.failsSetUp();
     if (failedSetUp) {
       learnWindow(now, true, latency);
     }
@@ -638,8 +634,7 @@
       job.node.provenAt = young ? Long.MAX_VALUE : job.node.provenAt;
       trust = Math.max(0, trust - (job.open && !first ? 0 : 1));
       job.errors += outcome == Outcome.ERROR ? 1 : 0;
-      // Guards against one request that no server can use striking them all.
-      if (job.errors < 2) {
+      if (job.errors < 2) { // guards against one request that no server can use striking them all
         strike(now, job.node);
       } else if (job.errors == 2 && job.accused != null) {
         job.accused.strikes = Math.max(0, job.accused.strikes - 1);
@@ -648,8 +643,6 @@
     }
     if (closed || job.open || job.answered) {
       finish(job);
-    } else if (job.errors > 1) {
-      answer(now, job);
     } else {
       place(now, job);
     }
@@ -713,12 +706,11 @@
     relieve(now, node, node.load * (1 - Math.max(0, 1 - slow / SECOND) / asked), slow >= FULL * shortestAim);
   }
 
-  /** Moves so much load off a server: first what is not at home here (that frees the group's cost), then what is worth
-   * least, the heaviest of it first; where a home has room, or {@code anyway}. A part of a connection is a chance. */
+  /** Moves so much load off a server, where a home has room or {@code anyway}. A part of a connection is a chance. */
   private void relieve(long now, Node node, double most, boolean anyway) {
     List<Job> here = new ArrayList<>(jobs.values());
     here.removeIf(job -> job.node != node || !job.open || job.moved || job.group == null); // no group, no homes
-    here.forEach(job -> job.foreign = !homes(now, job).contains(node));
+    here.forEach(job -> job.foreign = !homes(now, job).contains(node)); // first: that frees the group's cost
     here.sort(Comparator.comparing((Job job) -> !job.foreign).thenComparing(this::value)
         .thenComparing(job -> -job.load));
     for (Job job : here) {
@@ -744,6 +736,18 @@
     actions.move(job.request.id());
   }
 
+  @Override
+  public boolean confirms(long now, long id) {
+    Job job = jobs.get(id);
+    return job != null && job.node.ready && inScope(now, job, job.node);
+  }
+
+  @Override
+  public void close(long now) {
+    closing = true;
+    retryHeld(now);
+  }
+
   @Override
   public void departed(long now, long id) {
     Job job = jobs.get(id);
@@ -786,10 +790,9 @@
     for (Node node : rotation) {
       relieve(now, node);
       node.slow = node.open > 0 && slow(now, node) == 0 ? 0 : node.slow;
-      if (node.sheds && now >= node.provenAt) {
-        node.sheds = false;
-        node.strikes = 0;
-      }
+      boolean proven = node.sheds && now >= node.provenAt;
+      node.sheds &= !proven;
+      node.strikes = proven ? 0 : node.strikes;
       node.cap *= slow(now, node) > 0 ? 1 : 1 + LOOK / CAP_GROWTH;
     }
     if (now >= nextSweep) {
