Tell clients that rest or wait their end, and answer what crosses a stop, an eviction or a rest

Lines: Service.stop (transport.close over resting clients), LineClients.accepted, Service.evict.

Change: at the last step of a stop, when nothing is owed, the front leaves: who rests is rejected in good order, and so is who still comes, until the address is closed; the 0.3 s for the last FINs stay as they were. The end of a rest is a rejection where no byte of a first line has come, ERR where one has. Two expectations of StoriesTest change from ERR or a bare end to the rejection: as strict, since the answer is named.

--- a/proxy/src/main/java/amberhoist/front/Front.java
+++ b/proxy/src/main/java/amberhoist/front/Front.java
@@ -9,4 +9,10 @@
 public interface Front {
   /** A connection has been accepted for this front; the front gives it a {@link ClientSide} and reads from it. */
   void accepted(AsynchronousSocketChannel channel);
+
+  /**
+   * The proxy ends. Clients that have not asked for anything yet, and those that are still accepted, are rejected and
+   * told to wait so many microseconds: a request of theirs that is on its way then has its answer already.
+   */
+  void leave(long retryAfter);
 }
--- a/proxy/src/main/java/amberhoist/front/line/LineClients.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClients.java
@@ -39,6 +39,8 @@
   private LineLimits limits = LineLimits.DEFAULT;
   private long mostAdvice = Long.MAX_VALUE;
   private Core core;
+  private boolean leaving;
+  private long leaveAdvice;
 
   /** A front for clients on this transport; {@link #wire} names its core. */
   public LineClients(Loop loop, Transport transport, Lobby lobby, Counters counters, EventLog log) {
@@ -64,10 +66,36 @@
   public void accepted(AsynchronousSocketChannel channel) {
     Connection c = transport.accepted(channel, this);
     c.attach(new Greeting());
-    c.timer(loop.wheel().arm(loop.now() + limits.firstLine(), at -> malformed(c, "no first line in time")));
+    if (leaving) {
+      reject(c, leaveAdvice);
+      return;
+    }
+    c.timer(loop.wheel().arm(loop.now() + limits.firstLine(), at -> overdue(c)));
     transport.read(c);
   }
 
+  /** No first line in time. Where none has begun, one may be on its way: what never was sent on may be tried again. */
+  private void overdue(Connection c) {
+    bad(c, "no first line in time", c.pending() > 0 ? ERR : Lines.rejection(0));
+  }
+
+  @Override
+  public void leave(long retryAfter) {
+    leaving = true;
+    leaveAdvice = retryAfter;
+    transport.forEach(Role.NEW, c -> reject(c, retryAfter));
+  }
+
+  /** Makes room by ending a connection that nothing is owed, at once; one that may be about to ask is told so. */
+  public void evict(Connection c) {
+    counters.add(Count.EVICTED);
+    log.tell(Event.CLIENT_EVICTED, "descriptors run short", "peer", c);
+    if (c.role() == Role.NEW && c.pending() == 0) {
+      transport.send(c, Lines.rejection(limits.crowdedAdvice()));
+    }
+    transport.drop(c);
+  }
+
   @Override
   public void input(Connection c) {
     if (c.role() == Role.CLIENT && !c.joined()) {
@@ -147,10 +175,14 @@
   }
 
   private void malformed(Connection c, String why) {
+    bad(c, why, ERR);
+  }
+
+  private void bad(Connection c, String why, byte[] answer) {
     counters.add(Count.MALFORMED);
     log.tell(Event.CLIENT_MALFORMED, why, "peer", c);
     c.linger(limits.badLinger());
-    answer(c, ERR);
+    answer(c, answer);
   }
 
   private void pass(Connection c, byte[] line) {
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -8,6 +8,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -147,6 +149,17 @@
     }
   }
 
+  /** Does this to each connection that is for this and not being ended. */
+  public void forEach(Role role, Consumer<Connection> action) {
+    List<Connection> those = new ArrayList<>(); // the action may end them
+    connections.forEach(number -> on(number, c -> {
+      if (c.role == role && !c.finishing) {
+        those.add(c);
+      }
+    }));
+    those.forEach(action);
+  }
+
   /** How many connections are held. */
   public int size() {
     return connections.size();
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -47,7 +47,7 @@
 
 /** A whole proxy: core and module on a loop, with sockets, directory and admin socket round them. */
 public final class Service {
-  private static final long CLOSING = 300_000; // for the last FINs to be exchanged
+  private static final long CLOSING = 300_000;
   private static final long SUPPRESSED_EACH = 10_000_000; // between tellings of what the log left out
   private static final int OWN_DESCRIPTORS = 24; // 12 of the runtime and the group, two watches, the file
   private static final int LEAST_DESCRIPTORS = 18;
@@ -101,9 +101,7 @@
   }
 
   private void evict(Connection c) {
-    counters.add(Count.EVICTED);
-    log.tell(Event.CLIENT_EVICTED, "descriptors run short", "peer", c);
-    transport.drop(c);
+    clients.evict(c);
   }
 
   private void ensureWatch() {
@@ -113,9 +111,8 @@
   private void limit(Setup by) {
     int own = OWN_DESCRIPTORS + (by.config().mgmt() == null ? 0 : Door.DESCRIPTORS);
     int all = by.config().sockets();
-    if (elsewhere > 0) { // each process of an upgrade may take half of what neither holds
-      all = own + lobby.held() + Math.max(0, all - elsewhere - own - lobby.held()) / 2;
-    }
+    // Each process of an upgrade may take half of what neither holds.
+    all = elsewhere == 0 ? all : own + lobby.held() + Math.max(0, all - elsewhere - own - lobby.held()) / 2;
     lobby.limit(Math.max(LEAST_DESCRIPTORS, all - own));
     if (succession != null) {
       succession.holds(own + lobby.held());
@@ -303,12 +300,7 @@
       if (succeeded) {
         acceptor.leave();
       }
-      core.stop(loop.now(), succeeded, () -> loop.wheel().arm(loop.now() + CLOSING, at -> {
-        acceptor.close();
-        transport.close();
-        directory.close();
-        stopped.countDown();
-      }));
+      core.stop(loop.now(), succeeded, this::leave);
     });
     try {
       stopped.await(1, TimeUnit.MINUTES);
@@ -320,6 +312,17 @@
     log.tell(Event.PROXY_STOPPED, counters.toString());
   }
 
+  /** Nothing is owed and nobody is joined any more. Who rests here, or comes still, is told so before all is closed. */
+  private void leave() {
+    clients.leave(setup.operator().timing().stopAdvice());
+    loop.wheel().arm(loop.now() + CLOSING / 2, at -> acceptor.close());
+    loop.wheel().arm(loop.now() + CLOSING, at -> { // for the last FINs to be exchanged
+      transport.close();
+      directory.close();
+      stopped.countDown();
+    });
+  }
+
   /** Closes everything at once, as the end of the process would. */
   public void kill() {
     if (admin != null) {
--- a/proxy/src/test/java/amberhoist/service/DirectoryStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/DirectoryStoriesTest.java
@@ -15,7 +15,7 @@
 
 /** Stories of the watch on the directory, and of a stop in good order. */
 public class DirectoryStoriesTest {
-  private static void until(Peers peers, Count count, long number) {
+  static void until(Peers peers, Count count, long number) {
     long end = System.nanoTime() + Peers.PATIENCE * 1_000_000L;
     while (peers.service.count(count) < number) {
       assertTrue("no " + count, System.nanoTime() < end);
--- a/proxy/src/test/java/amberhoist/service/StoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/StoriesTest.java
@@ -121,7 +121,7 @@
       }
       silent.socket.setSoTimeout(Peers.PATIENCE);
       for (Peer peer : List.of(silent, pings, trickle)) {
-        assertEquals("ERR", peer.line());
+        assertEquals("who has begun nothing may be about to", peer == trickle ? "ERR" : "BUSY", peer.line());
         assertTrue(List.of("FIN", "RESET").contains(peer.line()));
       }
       assertTrue("within 3 s of connecting", System.nanoTime() - start < 2_900_000_000L);
@@ -165,7 +165,8 @@
         assertEquals("it was the client that left", "FIN", provider.line());
         provider.socket.close();
       }
-      assertTrue("the oldest goes first", List.of("FIN", "RESET").contains(silent.get(0).line()));
+      assertEquals("the oldest goes first, and is told so", "BUSY 500", silent.get(0).line());
+      assertTrue(List.of("FIN", "RESET").contains(silent.get(0).line()));
       assertEquals(0, peers.service.count(Count.CROWDED_OUT));
     }
   }
