--- a/proxy/src/main/java/amberhoist/config/Operator.java
+++ b/proxy/src/main/java/amberhoist/config/Operator.java
@@ -113,9 +113,9 @@
   /** The watch on the directory. */
   @Setting("The watch on the directory.")
   public record Directory(
-      @Setting(value = "Without a word for this long, the watch is renewed.", min = "100ms", max = "10m")
+      @Setting(value = "Without a whole line for this long, the watch is renewed.", min = "100ms", max = "10m")
       Duration silence,
-      @Setting(value = "The same before the first word.", min = "100ms", max = "10m") Duration firstAnswer,
+      @Setting(value = "From a call to its first whole line.", min = "100ms", max = "10m") Duration firstAnswer,
       @Setting(value = "After a failure, before the next watch; doubles with each further one.", min = "1ms",
           max = "1m") Duration pause,
       @Setting(value = "The longest such pause.", min = "1ms", max = "10m") Duration pauseMost) {}
--- a/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
@@ -15,6 +15,7 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.function.ObjLongConsumer;
@@ -170,9 +171,8 @@
       throw new IOException("ended");
     }
     long number = current;
-    silenceAfter(timing.silence(), number);
     watch.buffer.flip();
-    List<byte[]> lines = new java.util.ArrayList<>();
+    List<byte[]> lines = new ArrayList<>();
     try {
       watch.parser.take(watch.buffer, lines::add);
     } finally {
@@ -180,6 +180,9 @@
         news(line);
       }
     }
+    if (!lines.isEmpty()) { // bytes alone are no sign of life: a line that never ends tells nothing
+      silenceAfter(timing.silence(), number);
+    }
     watch.buffer.clear();
     if (watch.parser.ended()) {
       throw new IOException("ended");
@@ -190,11 +193,16 @@
   }
 
   private void news(byte[] line) throws IOException {
-    pause = timing.pause();
     if (line.length == 0) {
+      pause = timing.pause();
       return;
     }
     News news = News.parse(line, loop.clock());
+    if (!news.whole() && news.index() < index) {
+      index = 0; // guards against old changes undoing newer ones: the next watch asks for all of it
+      throw new IOException("an index that runs back");
+    }
+    pause = timing.pause();
     counters.add(Count.DIRECTORY_NEWS);
     index = news.index();
     addresses.update(news);
--- a/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.Assert.assertTrue;
 
 import amberhoist.metrics.Counters.Count;
+import amberhoist.net.WatchTiming;
 import amberhoist.service.Peers.Peer;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -13,10 +14,14 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.Test;
 
 /** Stories of what crosses on the way, in an order made certain: bytes that meet an end, news a connection. */
 public class CrossingStoriesTest {
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
   /** Failure met by reading: who rested at a proxy that ended was closed without a word, and so was its request. */
   @Test
   public void aClientThatRestsAtAProxyThatEndsHasItsAnswerBeforeTheClose() throws Exception {
@@ -95,6 +100,59 @@
     }
   }
 
+  /** Failure met by reading: any byte counted as life, so that an answer without end kept the watch for ever. */
+  @Test
+  public void aWatchWhoseLineNeverEndsIsGivenUp() throws Exception {
+    for (String begun : List.of("", HEAD, HEAD + chunk("") + "ffff\r\n")) {
+      try (Peers peers = new Peers(1, 1024, "[directory]\nfirst_answer = \"200ms\"\nsilence = \"200ms\"\n")) {
+        Peer endless = peers.watch(new String[1]).send(begun);
+        AtomicInteger bytes = new AtomicInteger();
+        Thread drip = new Thread(() -> {
+          try {
+            while (true) {
+              endless.send(begun.isEmpty() ? "H" : begun.equals(HEAD) ? "0" : " ");
+              bytes.incrementAndGet();
+              LockSupport.parkNanos(500_000); // slow enough for a sign of life each time
+            }
+          } catch (IOException given) {
+            // up, as it should be
+          }
+        });
+        drip.start();
+        peers.watch(new String[1]);
+        drip.join();
+        assertTrue("given up by its time, not for its length", bytes.get() < 8000);
+      }
+    }
+  }
+
+  @Test
+  public void whatADirectoryHasIsKnownWithinTheTimeAfterWhichItCountsAsTold() {
+    WatchTiming times = WatchTiming.DEFAULT;
+    long most = times.firstAnswer() + 2 * times.pauseMost(); // a call never answered, and the longest pause
+    assertTrue("and a second for the next answer", most + 1_000_000 <= 6_000_000);
+    assertTrue(times.silence() + 2 * times.pauseMost() + 1_000_000 <= 6_000_000);
+  }
+
+  @Test
+  public void changesOfAnOlderIndexUndoNothingAndTheWholeListIsAskedFor() throws Exception {
+    try (Peers peers = new Peers(2)) {
+      String[] query = new String[1];
+      Peer watch = peers.watchTelling(peers.list(8, true, "leaving", "active"));
+      watch.send(chunk(peers.list(7, false, "active", "active")));
+      Peer again = peers.watch(query).send(HEAD);
+      assertTrue(query[0], query[0].contains("&since=0 "));
+      for (int i = 0; i < 4; i++) {
+        peers.client(opening("k" + i, 2000, ""));
+        peers.provider(1).line();
+      }
+      again.send(chunk(peers.list(5, true, "active", "leaving"))); // whole: a directory that numbers anew
+      until(peers, Count.DIRECTORY_NEWS, 2);
+      peers.client(opening("k9", 2000, ""));
+      assertTrue(peers.provider(0).line().contains("k9"));
+    }
+  }
+
   private static void until(Peers peers, Count count, long number) {
     DirectoryStoriesTest.until(peers, count, number);
   }
