Act on a signal that comes while the proxy starts once it serves

Cause, found by reading: Service.start opens the address and only then Serving set the hook for SIGTERM. A proxy told to end between the two exited at once with status 143, over clients that it had taken in. Ruled out: SIGHUP had its handler first and waited already, but would have waited for ever after a start that failed.

Result: ProcessTest plays it on the real program, whose configuration comes through a pipe, so that it is certain where it stands; without the change it fails (the process is gone).

--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -47,7 +47,7 @@
 
 /** A whole proxy: core and module on a loop, with sockets, directory and admin socket round them. */
 public final class Service {
-  private static final long CLOSING = 300_000;
+  private static final long CLOSING = 300_000; // for who rests or comes late, and for the last FINs
   private static final long SUPPRESSED_EACH = 10_000_000; // between tellings of what the log left out
   private static final int OWN_DESCRIPTORS = 24; // 12 of the runtime and the group, two watches, the file
   private static final int LEAST_DESCRIPTORS = 18;
@@ -275,15 +275,6 @@
     }
   }
 
-  /** Stops in good order when the process is told to end, and then exits with status 0. */
-  public void stopOnSignal() {
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-      stop();
-      EventLog.flush();
-      Runtime.getRuntime().halt(0);
-    }, "stop"));
-  }
-
   /** Stops in good order; returns when all is closed. */
   public void stop() {
     boolean succeeded = succession != null && succession.succeeded();
@@ -316,7 +307,7 @@
   private void leave() {
     clients.leave(setup.operator().timing().stopAdvice());
     loop.wheel().arm(loop.now() + CLOSING / 2, at -> acceptor.close());
-    loop.wheel().arm(loop.now() + CLOSING, at -> { // for the last FINs to be exchanged
+    loop.wheel().arm(loop.now() + CLOSING, at -> {
       transport.close();
       directory.close();
       stopped.countDown();
--- a/proxy/src/test/java/amberhoist/cli/ProcessTest.java
+++ b/proxy/src/test/java/amberhoist/cli/ProcessTest.java
@@ -10,6 +10,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -18,10 +19,14 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The program as a process of its own: standard error, signals, the admin socket, exit codes. */
@@ -150,6 +155,64 @@
     return new String[] {Integer.toString(process.waitFor()), told};
   }
 
+  /** The program reads its configuration from a pipe: it is certain where it stands until that is written. */
+  @Test
+  @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void aSignalAtTheStartIsActedOnOnceTheProxyServes() throws Exception {
+    String config = Files.readString(Path.of("../example/config.json"));
+    for (String name : List.of("TERM", "HUP")) {
+      Path pipe = folder.resolve(name);
+      assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+      ProcessBuilder builder = command("serve");
+      builder.environment().putAll(Map.of("LB_CONFIG", pipe.toString(), "LB_LISTEN", "127.0.0.1:0", "LB_DISCOVERY",
+          "127.0.0.1:1"));
+      Process process = builder.start();
+      try (BufferedReader log = process.errorReader(StandardCharsets.UTF_8)) {
+        try (Writer written = Files.newBufferedWriter(pipe)) { // opens when the program does
+          signal(process, name);
+          awaitThread(process, name.equals("TERM") ? "stop" : "SIGHUP handler");
+          Path file = Files.writeString(folder.resolve("config.json"), config);
+          Files.move(file, pipe, StandardCopyOption.REPLACE_EXISTING); // for whoever reads it again
+          written.write(config);
+        }
+        if (name.equals("HUP")) {
+          awaitLine(log, "event=config.reloaded");
+          signal(process, "TERM");
+        }
+        awaitLine(log, "event=proxy.stops");
+        awaitLine(log, "event=proxy.stopped");
+        assertEquals(0, process.waitFor());
+      } finally {
+        process.destroyForcibly();
+      }
+    }
+  }
+
+  private static void awaitLine(BufferedReader log, String part) throws IOException {
+    String line = log.readLine();
+    while (line != null && !line.contains(part)) {
+      line = log.readLine();
+    }
+    assertNotNull(line, "the log ended without " + part);
+  }
+
+  private static void awaitThread(Process process, String name) throws Exception {
+    String cut = name.substring(0, Math.min(15, name.length())); // as the system keeps it
+    long end = System.nanoTime() + PATIENCE * 1_000_000L;
+    while (true) {
+      assertTrue(process.isAlive() && System.nanoTime() < end, "no thread " + name);
+      try (Stream<Path> tasks = Files.list(Path.of("/proc", Long.toString(process.pid()), "task"))) {
+        for (Path task : tasks.toList()) {
+          if (Files.readString(task.resolve("comm")).strip().equals(cut)) {
+            return;
+          }
+        }
+      } catch (IOException gone) {
+        Thread.onSpinWait();
+      }
+    }
+  }
+
   @Test
   void exitCodesAreTwoForUsageAndOneForFaults() throws Exception {
     assertEquals("2", run("sevre")[0]);
