Read to its end what a failed write would cut off, and let idle clients go before slow ones

Causes, found by reading, forced on real sockets (CrossingStoriesTest, both stories fail on the code before): - Transport: a write that met a reset ended both sides at once. Lines of the provider that had come before, its BYE among them, still waited in the socket; the client lost them, and the module took a connection served to its end for one that broke. - Lobby.room: the oldest client without a whole first line had to go, also one whose line was coming, before a crowd of idle ones.

A client that has brought bytes goes to the back of those that may have to make room. Peers.Hold holds the loop up, shared by three stories.

--- a/proxy/src/main/java/amberhoist/net/Connection.java
+++ b/proxy/src/main/java/amberhoist/net/Connection.java
@@ -37,6 +37,7 @@
   boolean connected;
   boolean reading;
   boolean writing;
+  boolean unwritable; // a write has failed: what the peer has said until then is still read
   boolean joined;
   /** The queue is to be written out and the sending side ended; nothing more is taken in. */
   boolean finishing;
--- a/proxy/src/main/java/amberhoist/net/Lobby.java
+++ b/proxy/src/main/java/amberhoist/net/Lobby.java
@@ -9,13 +9,13 @@
 /**
  * Who holds descriptors, and who has to give one up. Guards against clients that connect and say nothing, or
  * never close, taking the descriptors that usual clients need: a client counts twice from its first line on,
- * for the provider connection that it will want, and while that does not fit, the oldest connection that
- * nothing is owed goes.
+ * for the provider connection that it will want, and while that does not fit, one that nothing is owed goes: the
+ * oldest that has been answered, else the one that has been silent longest.
  */
 public final class Lobby {
   private static final int SPARE = 16;
 
-  private final Set<Connection> fresh = new LinkedHashSet<>(); // no whole first line yet, in order of arrival
+  private final Set<Connection> fresh = new LinkedHashSet<>(); // no whole first line yet, the longest silent first
   private final Set<Connection> ending = new LinkedHashSet<>(); // answered; the peer has not ended its side
   private final Consumer<Connection> evict;
   private int clients;
@@ -37,6 +37,13 @@
     fresh.add(c);
   }
 
+  /** Bytes have come from one that has not asked yet. Guards against slow clients going before a crowd of idle ones. */
+  void heard(Connection c) {
+    if (fresh.remove(c)) {
+      fresh.add(c);
+    }
+  }
+
   /** A connection now belongs to an invocation: a client after its first line, or one to a provider. */
   void taken(Connection c) {
     fresh.remove(c);
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -29,16 +29,16 @@
   private final CompletionHandler<Void, Long> connected = handler((c, none) -> {
     c.connected = true;
     c.handler.connected(c);
-  });
+  }, this::broken);
   private final CompletionHandler<Integer, Long> read = handler((c, n) -> {
     c.reading = false;
     read(c, n);
-  });
+  }, this::broken);
   private final CompletionHandler<Integer, Long> wrote = handler((c, n) -> {
     c.writing = false;
     c.queued -= n;
     write(c);
-  });
+  }, this::unwritable);
 
   private interface Completed<V> {
     void on(Connection connection, V result);
@@ -57,7 +57,7 @@
   }
 
   /** A handler that finds its connection by number: a late completion finds none and changes nothing. */
-  private <V> CompletionHandler<V, Long> handler(Completed<V> completed) {
+  private <V> CompletionHandler<V, Long> handler(Completed<V> completed, Consumer<Connection> failed) {
     return new CompletionHandler<>() {
       @Override
       public void completed(V result, Long number) {
@@ -66,7 +66,7 @@
 
       @Override
       public void failed(Throwable fault, Long number) {
-        loop.run(() -> on(number, c -> broken(c)));
+        loop.run(() -> on(number, failed));
       }
     };
   }
@@ -191,13 +191,18 @@
   private void read(Connection c, int bytes) {
     if (bytes < 0) {
       c.inputEnded = true;
-      if (!c.finishing) {
+      if (c.unwritable) {
+        broken(c); // the write has taken the error that this read would have met
+      } else if (!c.finishing) {
         c.handler.inputEnded(c);
       } else if (c.finished) {
         drop(c);
       }
       return;
     }
+    if (c.role == Role.NEW) {
+      lobby.heard(c);
+    }
     if (c.finishing) {
       c.in.clear(); // whatever still comes is of no interest
       c.scanned = 0;
@@ -210,7 +215,7 @@
 
   /** Queues bytes to be written; nothing is queued on a connection that is being ended. */
   public void send(Connection c, byte[] bytes) {
-    if (!c.finishing) {
+    if (!c.finishing && !c.unwritable) {
       c.queue.add(ByteBuffer.wrap(bytes));
       c.queued += bytes.length;
       write(c);
@@ -264,7 +269,9 @@
 
   /** Ends a connection in good order: what is queued, then FIN; then it waits a little for the peer's end. */
   public void finish(Connection c) {
-    if (!c.finishing && holds(c)) {
+    if (c.unwritable) {
+      drop(c); // nothing can be said to it any more
+    } else if (!c.finishing && holds(c)) {
       c.finishing = true;
       lobby.ends(c);
       c.handler.released(c);
@@ -300,6 +307,23 @@
     }
   }
 
+  /**
+   * A write has failed. What the peer said before it went may still wait to be read, held up or just not yet seen: it is
+   * read to its end first, and that end is the connection's.
+   */
+  private void unwritable(Connection c) {
+    if (c.finishing || c.inputEnded) {
+      broken(c);
+      return;
+    }
+    c.unwritable = true;
+    c.queue.clear();
+    c.queued = 0;
+    c.timer(loop.wheel().arm(loop.now() + limits.linger() / 2, at -> broken(c))); // whoever holds up its reading
+    read(c);
+    on(c.peer, this::read); // nothing holds the other side up any more
+  }
+
   /** Closes all connections at once. */
   public void close() {
     connections.forEach(number -> on(number, this::drop));
--- a/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
@@ -68,6 +68,48 @@
     }
   }
 
+  /** Failure met by reading: the oldest without a whole first line had to go, though it was about to ask. */
+  @Test
+  public void aSlowClientStaysWhereIdleOnesHaveToGo() throws Exception {
+    try (Peers peers = new Peers(1, 24 + 24, "[line]\nfirst_line = \"20s\"\n")) {
+      Peer slow = peers.client("");
+      List<Peer> idle = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        idle.add(peers.client(""));
+      }
+      assertEquals("those before it are taken in", "PONG", peers.client("PING\r\n").line());
+      slow.send("PING\r\nOPEN 9b1f");
+      assertEquals("PONG", slow.line());
+      for (int i = 0; i < 20; i++) {
+        peers.client("");
+      }
+      assertEquals("BUSY 500", idle.get(0).line());
+      slow.send("s s c=chat,t=acme,d=5000,g=5c0f\r\n");
+      assertTrue(peers.provider(0).line().startsWith("OPEN 9b1fs s "));
+    }
+  }
+
+  /** Failure met by reading: a write that failed ended both sides, over a farewell that had come before. */
+  @Test
+  public void whatAProviderSaidBeforeAWriteToItFailsIsPassedOn() throws Exception {
+    try (Peers peers = new Peers(1)) {
+      Peer[] ends = peers.joined("k", 0);
+      try (Peers.Hold hold = peers.hold()) {
+        ends[0].send("a question\r\n");
+        hold.next();
+        ends[1].send("a line\r\n");
+        hold.next(); // it is read; what comes now waits in the socket
+        ends[1].send("BYE\r\n");
+        ends[1].reset(); // the question meets this
+      }
+      assertEquals("a line", ends[0].line());
+      assertEquals("BYE", ends[0].line());
+      assertEquals("the same way", "RESET", ends[0].line());
+      assertEquals(1, peers.service.count(Count.ENDED_SERVED));
+      assertEquals(0, peers.service.connections());
+    }
+  }
+
   /**
    * A provider whose queue of connections is full: one that the proxy begins comes up only when the system tries again,
    * after the news that came meanwhile.
--- a/proxy/src/test/java/amberhoist/service/DirectoryStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/DirectoryStoriesTest.java
@@ -6,7 +6,6 @@
 import static org.junit.Assert.assertTrue;
 
 import amberhoist.metrics.Counters.Count;
-import amberhoist.net.Loop;
 import amberhoist.net.Signals;
 import amberhoist.service.Peers.Peer;
 import java.net.ServerSocket;
@@ -121,28 +120,12 @@
       Peer client = peers.client("PING\r\n");
       assertEquals("PONG", client.line());
       until(peers, Count.DIRECTORY_NEWS, 1);
-      CountDownLatch held = new CountDownLatch(1);
-      CountDownLatch go = new CountDownLatch(1);
-      Loop loop = peers.service.loop();
-      loop.post(() -> {
-        held.countDown();
-        try {
-          go.await();
-        } catch (InterruptedException ended) {
-          Thread.currentThread().interrupt();
-        }
-      });
-      held.await();
-      int waiting = loop.waiting();
-      client.send(opening("k", 1000, ""));
-      while (loop.waiting() < waiting + 1) {
-        Thread.onSpinWait();
-      }
-      watch.send(chunk(peers.list(3, true, "leaving")));
-      while (loop.waiting() < waiting + 2) {
-        Thread.onSpinWait();
+      try (Peers.Hold hold = peers.hold()) {
+        client.send(opening("k", 1000, ""));
+        hold.next();
+        watch.send(chunk(peers.list(3, true, "leaving")));
+        hold.next();
       }
-      go.countDown();
       assertTrue(client.line().startsWith("BUSY"));
       assertEquals(0, peers.service.count(Count.CALLS));
     }
--- a/proxy/src/test/java/amberhoist/service/Peers.java
+++ b/proxy/src/test/java/amberhoist/service/Peers.java
@@ -1,5 +1,7 @@
 package amberhoist.service;
 
+import static org.junit.Assert.assertTrue;
+
 import amberhoist.clock.Clock;
 import amberhoist.config.Config;
 import amberhoist.config.Setup;
@@ -17,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 
 /** The scripted peers of the stories: a directory, providers and clients on loopback, round a real proxy. */
 final class Peers implements AutoCloseable {
@@ -192,6 +195,50 @@
     return "OPEN 9b1f" + key + " " + key + " c=chat,t=acme,d=" + wait + ",g=5c0f" + more + "\r\n";
   }
 
+  /** The proxy's loop held up until this is closed; what comes meanwhile waits, in the order in which it came. */
+  final class Hold implements AutoCloseable {
+    private final CountDownLatch go = new CountDownLatch(1);
+    private int waiting;
+
+    private Hold() {
+      CountDownLatch held = new CountDownLatch(1);
+      service.loop().post(() -> {
+        held.countDown();
+        await(go);
+      });
+      await(held);
+      waiting = service.loop().waiting();
+    }
+
+    private static void await(CountDownLatch latch) {
+      try {
+        latch.await();
+      } catch (InterruptedException ended) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    /** Returns when one thing more waits. */
+    Hold next() {
+      waiting++;
+      long end = System.nanoTime() + PATIENCE * 1_000_000L;
+      while (service.loop().waiting() < waiting) {
+        assertTrue("nothing comes", System.nanoTime() < end);
+        Thread.onSpinWait();
+      }
+      return this;
+    }
+
+    @Override
+    public void close() {
+      go.countDown();
+    }
+  }
+
+  Hold hold() {
+    return new Hold();
+  }
+
   /** A client served by a provider: both ends. */
   Peer[] joined(String key, int provider) throws IOException {
     Peer client = client(opening(key, 99_999_999, ",at=p" + provider)); // its wait may be any
--- a/proxy/src/test/java/amberhoist/service/ReloadStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/ReloadStoriesTest.java
@@ -13,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -153,25 +152,12 @@
   @Timeout(60)
   void whoAsksAProxyThatEndsMeanwhileIsToldAndDoesNotWait() throws Exception {
     try (Peers peers = new Peers(1, 1024, "")) {
-      CountDownLatch held = new CountDownLatch(1);
-      CountDownLatch go = new CountDownLatch(1);
-      peers.service.loop().post(() -> {
-        held.countDown();
-        try {
-          go.await();
-        } catch (InterruptedException ended) {
-          Thread.currentThread().interrupt();
-        }
-      });
-      held.await();
-      int waiting = peers.service.loop().waiting();
-      CompletableFuture<Throwable> asked = CompletableFuture.supplyAsync(() ->
-          assertThrows(RuntimeException.class, peers.service::status));
-      while (peers.service.loop().waiting() <= waiting) {
-        Thread.onSpinWait();
+      CompletableFuture<Throwable> asked;
+      try (Peers.Hold hold = peers.hold()) {
+        asked = CompletableFuture.supplyAsync(() -> assertThrows(RuntimeException.class, peers.service::status));
+        hold.next();
+        peers.service.kill();
       }
-      peers.service.kill();
-      go.countDown();
       assertTrue(asked.get().toString().contains("stopped"), asked.get().toString());
     }
   }
