--- a/lab/src/main/java/amberhoist/lab/emulator/Mutant.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Mutant.java
@@ -26,6 +26,8 @@
   HEARS_NO_NEWS,
   /** Cold providers are called where there are any. */
   SWAMPS_COLD,
+  /** Each proxy takes all that a cold provider bears for its own part. */
+  RAMPS_AS_IF_ALONE,
   /** Silence of providers goes unnoticed. */
   MISSES_SILENCE,
   /** The end of a provider's connection is not passed on. */
--- a/lab/src/main/java/amberhoist/lab/emulator/World.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/World.java
@@ -353,8 +353,9 @@
     long coldTime = experiment.kinds().stream().mapToLong(kind -> micros(kind.coldTime())).max().orElse(0);
     List<RequestClass> classes = experiment.classes().stream().map(type -> new RequestClass(type.name(), Effect.SAFE,
         Scope.ALL, micros(type.aim()), 0, type.worth(), micros(type.message()))).toList();
+    double others = mutant == Mutant.RAMPS_AS_IF_ALONE ? proxies.size() : 1;
     return new Settings(zone, index, proxies.size(), classes, true, 10 * SECOND, 6, MOST_ADVICE, 0.02, 0.03, coldShare,
-        coldTime, experiment.fleet().coldMultiple(), micros(experiment.fleet().coldWindow()),
+        coldTime, others * experiment.fleet().coldMultiple(), micros(experiment.fleet().coldWindow()),
         value(), experiment.fleet().reports());
   }
 }
--- a/lab/src/test/java/amberhoist/lab/WorldTest.java
+++ b/lab/src/test/java/amberhoist/lab/WorldTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class WorldTest {
   @TempDir
@@ -116,4 +117,23 @@
     World world = new World(experiment, experiment.variants().get(0), 1, false, Mutant.SWAMPS_COLD);
     assertTrue(world.run().violations().stream().anyMatch(found -> found.rule().contains("cold provider")));
   }
+
+  /** No proxy knows for certain how many others there are: the budget of a cold provider holds for the sum of them. */
+  @ParameterizedTest
+  @ValueSource(ints = {20, 30})
+  void coldProvidersAreNotPushedOverByTheSumOfManyProxies(int proxies) throws Exception {
+    String text = Files.readString(Path.of("experiments/smoke-ramp.toml"));
+    Path file = Files.writeString(folder.resolve("ramp.toml"), text.replace("proxies = 30", "proxies = " + proxies));
+    List<Problem> problems = new ArrayList<>();
+    Experiment experiment = ExperimentFile.read(file, problems);
+    assertEquals(List.of(), problems);
+    assertEquals(proxies, experiment.fleet().proxies());
+    for (long seed = 1; seed <= 3; seed++) {
+      Outcome module = new World(experiment, experiment.variants().get(0), seed, true).run();
+      assertEquals(List.of(), module.violations());
+      assertTrue(module.figures().get("cold_peak") > 0.3, "cold ones are used");
+      World alone = new World(experiment, experiment.variants().get(0), seed, true, Mutant.RAMPS_AS_IF_ALONE);
+      assertTrue(alone.run().violations().stream().anyMatch(found -> found.rule().contains("cold provider")));
+    }
+  }
 }
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -308,8 +308,8 @@
   }
 
   /**
-   * A write has failed. What the peer said before it went may still wait to be read, held up or just not yet seen: it is
-   * read to its end first, and that end is the connection's.
+   * A write has failed. What the peer said before it went may still wait to be read, held up or just not seen yet: it
+   * is read to its end first, and that end is the connection's.
    */
   private void unwritable(Connection c) {
     if (c.finishing || c.inputEnded) {
