Refuse only what is harmless still when the client comes again, and promise nothing to one that left

Cause, found by reading: - Policy.answer looked at the window of repeats at the moment of the answer, while the client is told to come again up to one and a half aims later: a keyed request that may have run could be repeated after its window, told that this is harmless. - LineClients.end answered BUSY to a client that ends its sending side, though an attempt was out that may have run.

Change: the window has to hold until the advice is over, else the answer is a failure; who left gets ERR, which promises nothing.

--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -568,11 +568,11 @@
     waiting.stream().filter(job -> !job.answered).forEach(job -> place(now, job));
   }
 
-  /** The final answer, with no attempt out: a refusal where the effect cannot have happened or may repeat. */
+  /** The final answer, with no attempt out: a refusal where nothing ran, or may repeat when the client is back. */
   private void answer(long now, Job job) {
-    if (repeatable(now, job, job.type.scope() == Scope.ALL)) {
-      long advice = (long) (job.type.aim() * (0.5 + random.nextDouble()));
-      actions.refuse(job.request.id(), Math.min(settings.maxRetryAfter(), advice));
+    long advice = Math.min(settings.maxRetryAfter(), (long) (job.type.aim() * (0.5 + random.nextDouble())));
+    if (repeatable(now + advice, job, job.type.scope() == Scope.ALL)) {
+      actions.refuse(job.request.id(), advice);
     } else {
       actions.fail(job.request.id());
     }
--- a/proxy/src/main/java/amberhoist/front/line/LineClients.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClients.java
@@ -217,7 +217,7 @@
     if (c.joined() && provider != null) {
       ending.accept(provider);
     } else if (!reset) {
-      transport.send(c, Lines.rejection(0)); // one final answer, also to one that only ended its sending side
+      transport.send(c, ERR); // one final answer, also to one that only ended its sending side; an attempt may have run
     }
     ending.accept(c);
     core.clientLeft(loop.now(), c.invocation());
--- a/proxy/src/test/java/amberhoist/decide/PolicyTest.java
+++ b/proxy/src/test/java/amberhoist/decide/PolicyTest.java
@@ -398,6 +398,24 @@
     assertEquals(0, bench.count("refuse", 1), "a refusal would promise that nothing ran");
   }
 
+  /** Failure met by reading: the client was told to come again at a time when its repeat is no longer dropped. */
+  @Test
+  void aRefusalPromisesNoMoreThanHoldsWhenTheClientComesAgain() {
+    for (boolean inTime : new boolean[] {true, false}) {
+      Bench bench = new Bench();
+      bench.start(Bench.settings(false, Bench.type(Effect.KEYED, Scope.ALL))); // repeats are dropped for 5 s
+      bench.full("a", "b", "c", "d", "e", "f");
+      bench.balancer.request(bench.now, Bench.request(1, "x", null, bench.now + 20 * S));
+      bench.pass(inTime ? 4 * S : 4930 * MS);
+      for (int attempt = 0; attempt < 4; attempt++) {
+        assertEquals(attempt + 1, bench.count("send", 1), "within the window it is tried again");
+        bench.fail(1, attempt, Outcome.TIMED_OUT);
+      }
+      assertEquals(inTime ? 1 : 0, bench.count("refuse", 1));
+      assertEquals(inTime ? 0 : 1, bench.count("fail", 1));
+    }
+  }
+
   @Test
   void failedSubscribeIsRenewedWithBackOff() {
     Bench bench = new Bench();
