Read lists of the directory that come indented, and renew at once what breaks off in an object

One such list would have ended each watch as malformed, so that no news came any more.

Change: a line's end within open braces belongs to the object (braces within strings do not count); an empty line there, which is the directory's sign of life, shows that the object broke off, and the watch is renewed from the last whole one. Result: a story on real sockets, in chunks of seven bytes, that fails without the change (no news is taken).

--- a/proxy/src/main/java/amberhoist/directory/WatchParser.java
+++ b/proxy/src/main/java/amberhoist/directory/WatchParser.java
@@ -9,7 +9,7 @@
 
 /**
  * Reads the answer to a watch: HTTP/1.1, chunked, one JSON object or an empty line after the other. Bytes go
- * in as they come, whole lines of the body come out.
+ * in as they come, whole objects and empty lines of the body come out. An object may be indented, over many lines.
  */
 public final class WatchParser {
   private enum Part {
@@ -30,8 +30,12 @@
   private Part part = Part.STATUS;
   private boolean chunked;
   private long left;
+  private int depth; // of braces that are open in the object at hand
+  private boolean quoted; // within a string of it
+  private boolean escaped; // behind a backslash there
+  private boolean blank; // nothing yet on the line at hand of such an object
 
-  /** Takes all bytes of the buffer; whole lines of the body go to the consumer without their end. */
+  /** Takes all bytes of the buffer; whole objects and empty lines of the body go to the consumer, without line ends. */
   public void take(ByteBuffer bytes, Consumer<byte[]> lines) throws IOException {
     while (bytes.hasRemaining()) {
       if (part == Part.CHUNK) {
@@ -91,10 +95,17 @@
     while (bytes.hasRemaining() && left > 0) {
       byte next = bytes.get();
       left--;
-      if (next == '\n') {
+      if (next == '\n' && depth <= 0) {
         lines.accept(line.toByteArray());
         line.reset();
+        depth = 0;
+        quoted = false;
+      } else if (next == '\n') {
+        require(!blank, "an object that breaks off"); // the next sign of life has come in the middle of it
+        blank = true;
       } else if (next != '\r') {
+        nest(next);
+        blank = false;
         line.write(next);
         require(line.size() <= LONGEST_LINE, "overlong news");
       }
@@ -102,6 +113,16 @@
     part = left == 0 ? Part.CHUNK_END : Part.CHUNK;
   }
 
+  private void nest(byte next) {
+    if (quoted) {
+      quoted = escaped || next != '"';
+      escaped = !escaped && next == '\\';
+    } else {
+      quoted = next == '"';
+      depth += next == '{' ? 1 : next == '}' ? -1 : 0;
+    }
+  }
+
   private static void require(boolean holds, String fault) throws IOException {
     if (!holds) {
       throw new IOException("malformed answer: " + fault);
--- a/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
@@ -195,6 +195,28 @@
     }
   }
 
+  /** Failure met by reading: lists may come indented, and each line of one was taken for an object. */
+  @Test
+  public void aListMayComeIndentedAndOneThatBreaksOffIsAskedForAnew() throws Exception {
+    try (Peers peers = new Peers(1)) {
+      String[] query = new String[1];
+      String indented = peers.list(4, true, "leaving").replace("[", "[\n    ").replace(",", ",\r\n      ")
+          .replace("\"m\"", "\"an odd } \\\" kind {\"").replace("}]", "\n    }\n  ]\n");
+      Peer watch = peers.watch(query).send(HEAD);
+      for (int at = 0; at < indented.length(); at += 7) { // in chunks that end anywhere
+        String part = indented.substring(at, Math.min(at + 7, indented.length()));
+        watch.send(Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+      }
+      watch.send(chunk("")).send(chunk(peers.list(5, false, "leaving")));
+      until(peers, Count.DIRECTORY_NEWS, 2);
+      assertTrue("it drains", peers.client(opening("k", 300, "")).line().startsWith("BUSY"));
+      watch.send(chunk("{\"index\":6,\"endpoints\":[{")).send(chunk(""));
+      peers.watch(query);
+      assertTrue(query[0], query[0].contains("&since=5 "));
+      assertEquals(1, peers.service.count(Count.DIRECTORY_FAILURES));
+    }
+  }
+
   private static void until(Peers peers, Count count, long number) {
     DirectoryStoriesTest.until(peers, count, number);
   }
