Read from a client that is being ended whatever its provider holds up

Cause, found by reading: Transport.read held a client's reading up while much waited for its provider, also after the client had been told to move. Its end was seen only when the provider's connection was gone, and the close came over unread bytes, a reset. Change: a connection that is being ended is read from in any case. Ruled out: bounds, since what comes is thrown away up to the limit. A proxy's configuration at the start and a second SIGTERM or SIGHUP during its end are played by ProcessTest as well. Result: a story on real sockets with a provider that reads nothing; without the change the client's end is not seen.

--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -180,7 +180,7 @@
   /** Reads on, unless that is going on, not wanted any more, or held up by the other side. */
   public void read(Connection c) {
     Connection peer = connections.get(c.peer);
-    boolean held = c.joined && peer != null && peer.queued > limits.queue();
+    boolean held = c.joined && !c.finishing && peer != null && peer.queued > limits.queue();
     boolean wanted = c.discarded <= limits.discard();
     if (!c.reading && !c.inputEnded && !held && wanted && holds(c)) {
       c.reading = true;
--- a/proxy/src/test/java/amberhoist/cli/ProcessTest.java
+++ b/proxy/src/test/java/amberhoist/cli/ProcessTest.java
@@ -180,6 +180,8 @@
           signal(process, "TERM");
         }
         awaitLine(log, "event=proxy.stops");
+        signal(process, "TERM"); // again, and new settings in the middle of the end
+        signal(process, "HUP");
         awaitLine(log, "event=proxy.stopped");
         assertEquals(0, process.waitFor());
       } finally {
--- a/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
@@ -195,6 +195,36 @@
     }
   }
 
+  /** Failure met by reading: a client held up by its provider was not read from after its MOVE, and so was reset. */
+  @Test
+  public void whoWasHeldUpByAProviderEndsInGoodOrderAllTheSame() throws Exception {
+    try (Peers peers = new Peers(1, 1024, "[sockets]\nlinger = \"1m\"\n")) { // longer than this story has patience
+      peers.providers.get(0).setReceiveBufferSize(4096);
+      Peer client = peers.joined("k", 0)[0];
+      for (int sent = 1; passesOn(peers, sent - 1); sent++) {
+        client.send("y".repeat(4000) + "\r\n"); // the provider reads none of it
+      }
+      assertEquals("MOVE", client.line());
+      assertEquals("FIN", client.line());
+      client.socket.shutdownOutput();
+      long end = System.nanoTime() + Peers.PATIENCE * 1_000_000L;
+      while (peers.service.connections() > 1) { // the provider's stays: it takes nothing in
+        assertTrue("its end is not seen", System.nanoTime() < end);
+      }
+    }
+  }
+
+  /** Whether so many lines have been passed to providers; a line that has not been for a while is held up. */
+  private static boolean passesOn(Peers peers, long lines) {
+    long end = System.nanoTime() + 300_000_000L;
+    while (peers.service.count(Count.LINES_TO_PROVIDERS) < lines) {
+      if (System.nanoTime() > end) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Failure met by reading: lists may come indented, and each line of one was taken for an object. */
   @Test
   public void aListMayComeIndentedAndOneThatBreaksOffIsAskedForAnew() throws Exception {
