After a stall let what has come go ahead of the timers, once; force UP against deadline and leave

Cause, found by reading: a client that closes has gone, and nothing may begin for it over 0.1 s later. After the process stood still (its share of a core used up, a long collection), Loop.tick was already due and fired the module's timer first, so that an attempt could begin for a client whose end had waited in its socket all that time. The queue runs by due time, and the tick's was before that of every completion since. SilenceWatch alone knew of such stalls. Ruled out: asking the socket, which asynchronous channels do not offer while a read is out.

Change: a tick that comes over 20 ms late only notes that, and the next one, 4 ms later or as soon as its turn comes, fires all that is due; never two in a row without.

--- a/proxy/src/main/java/amberhoist/net/Loop.java
+++ b/proxy/src/main/java/amberhoist/net/Loop.java
@@ -20,6 +20,8 @@
   /** The wheel's tick: well below the 50 ms by which a time limit on sockets may be passed. */
   public static final long TICK = 4_000;
 
+  private static final long STALL = 5 * TICK; // far inside the 0.1 s after which nothing is done for who has left
+
   private final Clock clock = new Clock();
   private final Wheel wheel = new Wheel(TICK, clock.now());
   private final ScheduledThreadPoolExecutor executor;
@@ -28,6 +30,7 @@
   private final Queue<Runnable> urgent = new ConcurrentLinkedQueue<>();
   private boolean running;
   private long lastTick = clock.now();
+  private boolean stalled; // the last tick came so late that no timer was fired in it
 
   private final Consumer<Throwable> faults;
   private final LongConsumer lag;
@@ -47,10 +50,18 @@
     executor.scheduleWithFixedDelay(() -> run(this::tick), TICK, TICK, TimeUnit.MICROSECONDS);
   }
 
+  /**
+   * Fires the timers that are due, but for once after this process stood still: what has come meanwhile is still to be
+   * read, and goes first. Guards against a timer that begins something for a client whose end waits in its socket.
+   */
   private void tick() {
     long now = clock.now();
-    lag.accept(Math.max(0, now - lastTick - TICK));
-    wheel.advance(now);
+    long late = Math.max(0, now - lastTick - TICK);
+    lag.accept(late);
+    stalled = late > STALL && !stalled;
+    if (!stalled) {
+      wheel.advance(now);
+    }
     lastTick = clock.now();
   }
 
--- a/proxy/src/test/java/amberhoist/core/CrossingsTest.java
+++ b/proxy/src/test/java/amberhoist/core/CrossingsTest.java
@@ -250,4 +250,46 @@
     assertEquals(0, count("forward"));
     assertEquals(0, core.size());
   }
+
+  @Test
+  public void upAndTheDeadlineMeetInEitherOrder() {
+    for (boolean upFirst : new boolean[] {true, false}) {
+      CrossingsTest world = new CrossingsTest();
+      world.start(Effect.SAFE, 1);
+      long number = world.request(7, 400 * MS);
+      world.core.connected(world.now, number, 1);
+      world.pass(250 * MS);
+      if (upFirst) {
+        world.core.up(world.now, number, 1);
+      }
+      world.pass(250 * MS); // over the deadline
+      world.core.up(world.now, number, 1); // again, or too late
+      assertEquals("one or the other", upFirst ? 1 : 0, world.count("join 7"));
+      assertEquals(upFirst ? 0 : 1, world.count("reject 7"));
+      assertEquals(0, world.count("fail"));
+      assertEquals("nothing broken", 0, world.counters.get(Counters.Count.BROKEN_INVARIANTS));
+    }
+  }
+
+  @Test
+  public void upAndTheClientsLeaveMeetInEitherOrder() {
+    for (boolean upFirst : new boolean[] {true, false}) {
+      CrossingsTest world = new CrossingsTest();
+      world.start(Effect.UNSAFE, 2);
+      long number = world.request(7, 2000 * MS);
+      world.core.connected(world.now, number, 1);
+      if (upFirst) {
+        world.core.up(world.now, number, 1);
+      }
+      world.core.clientLeft(world.now, number);
+      world.core.up(world.now, number, 1);
+      world.core.callEnded(world.now, number, 1, Outcome.RESET);
+      world.core.ended(world.now, number, 1, Outcome.SERVED);
+      world.pass(3000 * MS);
+      assertEquals(upFirst ? 1 : 0, world.count("join"));
+      assertEquals("nobody is there to be answered", 0, world.count("reject") + world.count("fail"));
+      assertEquals("and nothing is tried for nobody", 1, world.count("dial"));
+      assertEquals(0, world.core.size());
+    }
+  }
 }
--- a/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
@@ -214,6 +214,29 @@
     }
   }
 
+  /** What a provider says in one segment, and ends with or without a line's end. */
+  @Test
+  public void linesThatComeTogetherArePassedOnWholeAndInOrder() throws Exception {
+    for (String[] crossing : new String[][] {
+        {"UP 1\r\nBYE\r\n", "UP 1", "BYE", "FIN"},
+        {"UP 1\r\nMOVE\r\n", "UP 1", "MOVE", "FIN"},
+        {"UP 1\r\nUP 2\r\nhalf a line", "UP 1", "UP 2", "FIN"},
+        {"UP 1\r\n", "UP 1", "FIN"},
+        {"ERR\r\nUP 1\r\n", "BUSY", "FIN"},
+        {"BUSY\r\nBYE\r\n", "BUSY", "FIN"},
+        {"half an answer", "BUSY", "FIN"}}) {
+      try (Peers peers = new Peers(1)) {
+        Peer client = peers.client(opening("k", 500, ""));
+        Peer provider = peers.provider(0);
+        assertTrue(provider.line().startsWith("OPEN "));
+        provider.send(crossing[0]).socket.shutdownOutput();
+        for (int i = 1; i < crossing.length; i++) {
+          assertEquals(crossing[0], crossing[i], client.line().replaceFirst(" [0-9]{3}.*", ""));
+        }
+      }
+    }
+  }
+
   /** Whether so many lines have been passed to providers; a line that has not been for a while is held up. */
   private static boolean passesOn(Peers peers, long lines) {
     long end = System.nanoTime() + 300_000_000L;
