Name attempts so: Calls becomes Attempts, and no text says invoker call any more

Old and new: class core.Calls is core.Attempts, the field calls of an Invocation is attempts, the words "invoker call" in texts, docs, log messages and the checker's rule are "attempt". Names that operators see in figures and events (calls, call_up, call.ended, call) stay.

--- a/lab/src/main/java/amberhoist/lab/emulator/Attempt.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Attempt.java
@@ -1,6 +1,6 @@
 package amberhoist.lab.emulator;
 
-/** One connection of a proxy to a provider: an invoker call, and what becomes of it. */
+/** One connection of a proxy to a provider: an attempt, and what becomes of it. */
 final class Attempt {
   final EmulatedProxy proxy;
   final int life;
--- a/lab/src/main/java/amberhoist/lab/emulator/Checker.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Checker.java
@@ -10,7 +10,7 @@
 
 /**
  * Sees all that passes between clients, proxies and providers, and knows only the protocol's rules: one final answer
- * and in time; never two invoker calls out; nothing new to a draining provider 500 ms after the news; no cold provider
+ * and in time; never two attempts out; nothing new to a draining provider 500 ms after the news; no cold provider
  * sent over its budget; clients of a silent provider moved within 7 s; one side's end ends the other; nobody cut off
  * without {@code MOVE}.
  */
@@ -97,7 +97,7 @@
   void sends(Attempt attempt) {
     world.trace.add(SENT, world.time.now(), attempt.proxy.index, attempt.provider.name.hashCode());
     if (attempt.visit.out > 0) {
-      broken("two invoker calls out", who(attempt.visit));
+      broken("two attempts out", who(attempt.visit));
     }
     long told = newsOf(attempt).drainTold();
     if (told > 0 && world.time.now() - told > DRAIN_GRACE + SLACK) {
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -166,7 +166,7 @@
     return alive && attempt.life == life && attempts.get(attempt.number) == attempt;
   }
 
-  /** The provider's answer to an invoker call, or the connection's early end. */
+  /** The provider's answer to an attempt, or the connection's early end. */
   void answered(Attempt attempt, Outcome outcome) {
     if (holds(attempt)) {
       conclude(attempt);
--- a/lab/src/main/java/amberhoist/lab/emulator/Visit.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/Visit.java
@@ -12,7 +12,7 @@
   long number;
   long invocation = SlotTable.NONE;
   Attempt joined;
-  int out; // invoker calls that have been sent and not been given up or answered
+  int out; // attempts that have been sent and not been given up or answered
   int calls;
   int answers;
   boolean closed;
--- a/proxy/src/main/java/amberhoist/core/Answers.java
+++ b/proxy/src/main/java/amberhoist/core/Answers.java
@@ -88,7 +88,7 @@
       commands.abandon(it.provider);
       counters.add(Count.CALL_ABANDONED);
       if (it.balanced) {
-        balancer.ended(events.now(), number, it.calls - 1, Outcome.CANCELLED, events.now() - it.callStart, true);
+        balancer.ended(events.now(), number, it.attempts - 1, Outcome.CANCELLED, events.now() - it.callStart, true);
       }
     }
   }
--- a/proxy/src/main/java/amberhoist/core/Calls.java
+++ b/proxy/src/main/java/amberhoist/core/Attempts.java
@@ -11,7 +11,7 @@
  * is its phase, never the completion of a write: a reset, an end or a timer may be handled before a completion whose
  * bytes have long been with the provider.
  */
-final class Calls {
+final class Attempts {
   /** What is done when a call has ended without UP. */
   interface Over {
     /** The call is over; {@code unwilling} when the provider cannot be there or wants nothing of it. */
@@ -27,7 +27,7 @@
   private final Over over;
   private final LongPredicate wanted;
 
-  Calls(SlotTable<Invocation> invocations, Wheel wheel, EventQueue events, Commands commands,
+  Attempts(SlotTable<Invocation> invocations, Wheel wheel, EventQueue events, Commands commands,
       Counters counters, Telemetry telemetry, Over over, LongPredicate wanted) {
     this.invocations = invocations;
     this.wheel = wheel;
@@ -45,15 +45,15 @@
     counters.add(Count.CALLS);
     long now = events.now();
     it.phase = Phase.CONNECTING;
-    it.calls++;
+    it.attempts++;
     it.called = provider;
     it.callStart = now;
     it.callEnd = Math.min(until, it.request.deadline());
     it.provider = commands.dial(number, it.client, provider);
     if (it.provider == SlotTable.NONE) {
-      int call = it.calls;
+      int attempt = it.attempts;
       events.after(() -> {
-        if (invocations.get(number) == it && it.calls == call && it.phase == Phase.CONNECTING) {
+        if (invocations.get(number) == it && it.attempts == attempt && it.phase == Phase.CONNECTING) {
           end(number, it, Outcome.CONNECT_FAILED);
         }
       });
--- a/proxy/src/main/java/amberhoist/core/Commands.java
+++ b/proxy/src/main/java/amberhoist/core/Commands.java
@@ -7,7 +7,7 @@
  */
 public interface Commands {
   /**
-   * Starts an invoker call: connects to a provider.
+   * Starts an attempt: connects to a provider.
    *
    * @return the number of the new provider connection, or {@link SlotTable#NONE} if none could be started
    */
@@ -16,7 +16,7 @@
   /** Forwards the client's first line on a connection that stands; the proxy will wait so long for more. */
   void forward(long provider, long millis);
 
-  /** Closes a provider connection, which ends the invoker call on it. */
+  /** Closes a provider connection, which ends the attempt on it. */
   void abandon(long provider);
 
   /** Joins client and provider, which has answered UP: from now on lines pass both ways. */
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -22,7 +22,7 @@
  * no I/O and reads no clock; every event brings the time. It belongs to one thread.
  *
  * <p>For each invocation it keeps to the rules whatever the balancer says: one final answer, before the
- * deadline; never two invoker calls out; every call ended exactly once.
+ * deadline; never two attempts out; every attempt ended exactly once.
  */
 public final class Core implements Balancer.Actions {
   private static final double MILLI = 1000; // microseconds
@@ -33,7 +33,7 @@
   private final Counters counters;
   private final Telemetry telemetry;
   private final EventQueue events = new EventQueue();
-  private final Calls calls;
+  private final Attempts attempts;
   private final Answers answers;
   private final Handovers handovers;
   private final Overdue overdue;
@@ -55,11 +55,11 @@
     this.limits = limits;
     this.timing = timing;
     this.telemetry = telemetry;
-    calls = new Calls(invocations, wheel, events, commands, counters, telemetry, this::over,
+    attempts = new Attempts(invocations, wheel, events, commands, counters, telemetry, this::over,
         number -> balancer.confirms(events.now(), number));
     answers = new Answers(invocations, events, commands, counters, telemetry, balancer);
-    overdue = new Overdue(invocations, events, calls, answers, balancer, counters);
-    handovers = new Handovers(invocations, wheel, events, answers, calls, () -> this.limits.dial());
+    overdue = new Overdue(invocations, events, attempts, answers, balancer, counters);
+    handovers = new Handovers(invocations, wheel, events, answers, attempts, () -> this.limits.dial());
     silence = new SilenceWatch(invocations, wheel, events, timing, this::lose);
     stopping = new Stopping(invocations, wheel, events, this::move,
         owed -> overdue.close(owed, this.timing.stopAdvice()));
@@ -127,17 +127,17 @@
   }
 
   private void call(long number, Invocation it, String provider, long until) {
-    calls.start(number, it, provider, until, limits.dial());
+    attempts.start(number, it, provider, until, limits.dial());
   }
 
   /** A provider connection stands: the first line goes out on it, if there is still time. */
   public void connected(long time, long number, long provider) {
-    event(time, () -> calls.connected(number, provider));
+    event(time, () -> attempts.connected(number, provider));
   }
 
   /** The first line has been written whole to a provider connection. */
   public void written(long time, long number, long provider) {
-    event(time, () -> calls.written(number, provider));
+    event(time, () -> attempts.written(number, provider));
   }
 
   /**
@@ -145,13 +145,13 @@
    * that could not be made.
    */
   public void callEnded(long time, long number, long provider, Outcome outcome) {
-    event(time, () -> calls.ended(number, provider, outcome));
+    event(time, () -> attempts.ended(number, provider, outcome));
   }
 
   /** What follows the end of a call without UP: the balancer decides, but for a connection handed over. */
   private void over(long number, Invocation it, Outcome outcome, boolean unwilling) {
     if (it.balanced) {
-      balancer.ended(events.now(), number, it.calls - 1, outcome, events.now() - it.callStart, false);
+      balancer.ended(events.now(), number, it.attempts - 1, outcome, events.now() - it.callStart, false);
     } else {
       handovers.again(number, it, unwilling);
     }
@@ -160,7 +160,7 @@
   /** A provider has answered UP: the client is served, if it is still there. */
   public void up(long time, long number, long provider) {
     event(time, () -> {
-      Invocation it = calls.out(number, provider);
+      Invocation it = attempts.out(number, provider);
       if (it == null) {
         return;
       }
@@ -175,10 +175,10 @@
       silence.joined(number, it);
       commands.join(it.client, provider);
       if (it.balanced) {
-        balancer.opened(events.now(), number, it.calls - 1, events.now() - it.callStart);
+        balancer.opened(events.now(), number, it.attempts - 1, events.now() - it.callStart);
       } else {
         it.balanced = true;
-        it.calls = 1;
+        it.attempts = 1;
         balancer.handover(events.now(), it.request, it.handover);
       }
     });
@@ -200,11 +200,11 @@
       double before = it.told.load();
       boolean delay = it.told.delay(events.now(), figure);
       if (!delay || it.told.load() != before) {
-        balancer.load(events.now(), number, it.calls - 1, it.told.load());
+        balancer.load(events.now(), number, it.attempts - 1, it.told.load());
       }
       if (delay) {
         counters.add(Count.DELAYS);
-        balancer.delay(events.now(), number, it.calls - 1, figure * MILLI);
+        balancer.delay(events.now(), number, it.attempts - 1, figure * MILLI);
       }
     });
   }
@@ -245,7 +245,7 @@
     it.cancelTimers();
     silence.ended(number, it);
     invocations.remove(number);
-    balancer.ended(events.now(), number, it.calls - 1, outcome, events.now() - it.callStart, true);
+    balancer.ended(events.now(), number, it.attempts - 1, outcome, events.now() - it.callStart, true);
   }
 
   /** The client has left, before its answer or after. */
--- a/proxy/src/main/java/amberhoist/core/Handovers.java
+++ b/proxy/src/main/java/amberhoist/core/Handovers.java
@@ -15,16 +15,16 @@
   private final Wheel wheel;
   private final EventQueue events;
   private final Answers answers;
-  private final Calls calls;
+  private final Attempts attempts;
   private final LongSupplier dial;
 
-  Handovers(SlotTable<Invocation> invocations, Wheel wheel, EventQueue events, Answers answers, Calls calls,
+  Handovers(SlotTable<Invocation> invocations, Wheel wheel, EventQueue events, Answers answers, Attempts attempts,
       LongSupplier dial) {
     this.invocations = invocations;
     this.wheel = wheel;
     this.events = events;
     this.answers = answers;
-    this.calls = calls;
+    this.attempts = attempts;
     this.dial = dial;
   }
 
@@ -36,7 +36,7 @@
     }
     wheel.arm(events.now() + PAUSE, at -> events.run(at, () -> {
       if (invocations.get(number) == it && it.phase == Phase.WAITING) {
-        calls.start(number, it, it.handover, it.request.deadline(), dial.getAsLong());
+        attempts.start(number, it, it.handover, it.request.deadline(), dial.getAsLong());
       }
     }));
   }
--- a/proxy/src/main/java/amberhoist/core/Invocation.java
+++ b/proxy/src/main/java/amberhoist/core/Invocation.java
@@ -27,7 +27,7 @@
   Phase phase = Phase.WAITING;
   boolean balanced; // the balancer knows it
   long provider = SlotTable.NONE;
-  int calls;
+  int attempts;
   String called; // the provider of the last call
   long callStart;
   long callEnd;
--- a/proxy/src/main/java/amberhoist/core/Overdue.java
+++ b/proxy/src/main/java/amberhoist/core/Overdue.java
@@ -12,16 +12,16 @@
 final class Overdue {
   private final SlotTable<Invocation> invocations;
   private final EventQueue events;
-  private final Calls calls;
+  private final Attempts attempts;
   private final Answers answers;
   private final Balancer balancer;
   private final Counters counters;
 
-  Overdue(SlotTable<Invocation> invocations, EventQueue events, Calls calls, Answers answers, Balancer balancer,
+  Overdue(SlotTable<Invocation> invocations, EventQueue events, Attempts attempts, Answers answers, Balancer balancer,
       Counters counters) {
     this.invocations = invocations;
     this.events = events;
-    this.calls = calls;
+    this.attempts = attempts;
     this.answers = answers;
     this.balancer = balancer;
     this.counters = counters;
@@ -31,7 +31,7 @@
   void deadline(long number) {
     Invocation it = invocations.get(number);
     if (it != null && it.balanced) {
-      calls.expire(number, it);
+      attempts.expire(number, it);
     }
     it = invocations.get(number);
     if (it != null && it.phase != Phase.UP) {
@@ -46,7 +46,7 @@
     for (long number : owed) {
       Invocation it = invocations.get(number);
       if (it != null && it.balanced) {
-        calls.expire(number, it);
+        attempts.expire(number, it);
       }
       if (it != null && invocations.get(number) == it) {
         answers.giveUp(number, it, advice);
--- a/proxy/src/main/java/amberhoist/core/Telemetry.java
+++ b/proxy/src/main/java/amberhoist/core/Telemetry.java
@@ -26,7 +26,7 @@
     public void silent(long invocation, String provider) {}
   };
 
-  /** An invoker call ended after so long; {@code outcome} is null when the provider answered UP. */
+  /** An attempt ended after so long; {@code outcome} is null when the provider answered UP. */
   void called(long invocation, String provider, Outcome outcome, long micros);
 
   /** An invocation got its final answer, so long after it arrived. */
--- a/proxy/src/main/java/amberhoist/front/ProviderSide.java
+++ b/proxy/src/main/java/amberhoist/front/ProviderSide.java
@@ -3,7 +3,7 @@
 import amberhoist.net.Connection;
 import amberhoist.net.Handler;
 
-/** The handler of a connection to a provider: how an invoker call is said in the provider's protocol. */
+/** The handler of a connection to a provider: how an attempt is said in the provider's protocol. */
 public interface ProviderSide extends Handler {
   /**
    * Starts to connect on behalf of a client's invocation.
--- a/proxy/src/main/java/amberhoist/front/line/LineProviders.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineProviders.java
@@ -130,7 +130,7 @@
     }
   }
 
-  /** The first line of a provider: its answer to the invoker call. A malformed one is the call's error. */
+  /** The first line of a provider: its answer to the attempt. A malformed one is the call's error. */
   private void answer(Connection c, ProviderLine kind, byte[] line) {
     if (kind != ProviderLine.UP) {
       Outcome outcome = switch (kind) {
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -23,7 +23,7 @@
   PROVIDER_SILENT(Level.WARN, true, "a provider returns nothing; a client of it is moved", "invocation", "provider"),
   PROVIDER_SUSPENDED(Level.INFO, false, "an operator took a provider out; it gets nothing new", "provider"),
   PROVIDER_RESUMED(Level.INFO, false, "an operator called a provider back", "provider"),
-  CALL_ENDED(Level.DEBUG, true, "an invoker call ended", "invocation", "provider", "outcome", "micros"),
+  CALL_ENDED(Level.DEBUG, true, "an attempt ended", "invocation", "provider", "outcome", "micros"),
   INVOCATION_ANSWERED(Level.DEBUG, true, "an invocation got its final answer", "invocation", "outcome", "micros"),
   MODULE_SAID(Level.INFO, true, "the decision module has something to say"),
   DOOR_LISTENS(Level.INFO, false, "operators are answered there", "address"),
--- a/proxy/src/main/java/amberhoist/metrics/Latencies.java
+++ b/proxy/src/main/java/amberhoist/metrics/Latencies.java
@@ -13,8 +13,8 @@
     SETUP("from an invocation's arrival to its UP"),
     /** From a client's first line to a rejection or failure. */
     TURNED_AWAY("from an invocation's arrival to its rejection or failure"),
-    /** One invoker call, however it ended. */
-    CALL("one invoker call, however it ended"),
+    /** One attempt, however it ended. */
+    CALL("one attempt, however it ended"),
     /** How late the wheel's tick came. */
     LOOP_LAG("how late the loop's tick came");
 
--- a/proxy/src/main/java/amberhoist/metrics/Outcomes.java
+++ b/proxy/src/main/java/amberhoist/metrics/Outcomes.java
@@ -45,12 +45,12 @@
     }
   }
 
-  /** The line of an invoker call has been written whole to a provider. */
+  /** The line of an attempt has been written whole to a provider. */
   public void attempted() {
     attempts++;
   }
 
-  /** How many lines of invoker calls were written whole. */
+  /** How many lines of attempts were written whole. */
   public long attempts() {
     return attempts;
   }
--- a/proxy/src/main/java/amberhoist/mgmt/Figures.java
+++ b/proxy/src/main/java/amberhoist/mgmt/Figures.java
@@ -13,7 +13,7 @@
  * @param served connections brought up, by class
  * @param refused rejections, by class
  * @param failed failures, by class
- * @param attempts invoker calls whose line was written whole
+ * @param attempts attempts whose line was written whole
  * @param inFlight connections taken and not ended
  * @param known providers in the list
  * @param excluded providers in the list that get nothing now, by hand or by the module's choice
--- a/proxy/src/main/java/amberhoist/service/Telling.java
+++ b/proxy/src/main/java/amberhoist/service/Telling.java
@@ -21,7 +21,7 @@
   @Override
   public void called(long invocation, String provider, Outcome outcome, long micros) {
     latencies.record(Span.CALL, micros);
-    log.tell(Event.CALL_ENDED, "an invoker call ended", "invocation", invocation, "provider", provider, "outcome",
+    log.tell(Event.CALL_ENDED, "an attempt ended", "invocation", invocation, "provider", provider, "outcome",
         outcome == null ? "up" : word(outcome), "micros", micros);
   }
 
