Force the move of the directory's address into an object that is half read

Need: one of the crossings of the issue had no test. What the old directory still says once the address has moved changes nothing, with its bytes behind the new settings in the queue; the story holds on the code as it was.

--- a/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
@@ -214,6 +214,31 @@
     }
   }
 
+  /** The address moves while an object of the old directory is half read: nothing of it counts, in either order. */
+  @Test
+  public void whatTheOldDirectoryStillSaysChangesNothingOnceTheAddressHasMoved() throws Exception {
+    try (Peers peers = new Peers(1); ServerSocket other = Peers.listen()) {
+      String[] query = new String[1];
+      String news = chunk(peers.list(10, true, "leaving"));
+      Peer old = peers.watch(query).send(HEAD + chunk(peers.list(9, true)) + news.substring(0, 60));
+      until(peers, Count.DIRECTORY_NEWS, 1); // and with it the half has come
+      try (Peers.Hold hold = peers.hold()) {
+        peers.reload(peers.config(other));
+        hold.next();
+        old.send(news.substring(60)); // read, and waits behind the new settings
+        hold.next();
+      }
+      Peer watch = peers.watch(other, query).send(HEAD);
+      assertTrue(query[0], query[0].contains("&since=0 "));
+      assertEquals("FIN", old.line());
+      peers.client(opening("a", 2000, ""));
+      assertTrue("it does not drain", peers.provider(0).line().contains("a"));
+      watch.send(chunk(peers.list(2, true, "leaving")));
+      until(peers, Count.DIRECTORY_NEWS, 2);
+      assertTrue(peers.client(opening("b", 300, "")).line().startsWith("BUSY"));
+    }
+  }
+
   /** What a provider says in one segment, and ends with or without a line's end. */
   @Test
   public void linesThatComeTogetherArePassedOnWholeAndInOrder() throws Exception {
