Read the rest of a list where one of its entries cannot be read

Cause, found by reading: News.entry refused the whole object for one entry with an unknown status, an address or a number of another kind. The watch was renewed and the same list came again, so that no news of anybody arrived any more; in the configuration's list it kept a proxy from starting.

Change: such an entry leaves its provider as it was, all others count, and it is counted (directory_unread) and logged at the log's bounded rate (directory.unread). An entry without a name is still no list, and is asked for anew. Result: a story of seven such entries, in whole lists and in changes; with the refusal put back it fails.

--- a/proxy/src/main/java/amberhoist/config/Config.java
+++ b/proxy/src/main/java/amberhoist/config/Config.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -71,7 +72,7 @@
     String mgmt = environment.get("LB_MGMT");
     String seed = null;
     int sockets = SOCKETS;
-    News known = new News(0, true, List.of(), Map.of());
+    News known = new News(0, true, List.of(), Map.of(), Set.of());
     SettingsReader settings = null;
     require(in.nextToken() == JsonToken.START_OBJECT, "not an object");
     while (in.nextToken() == JsonToken.FIELD_NAME) {
--- a/proxy/src/main/java/amberhoist/directory/AddressBook.java
+++ b/proxy/src/main/java/amberhoist/directory/AddressBook.java
@@ -14,11 +14,17 @@
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private final Map<String, Server> listed = new TreeMap<>();
 
-  /** Takes up news; replaces all that was known when they are the whole list. */
-  public void update(News news) {
+  /**
+   * Takes up news; replaces all that was known when they are the whole list, but for what could not be read of it.
+   *
+   * @return the entries, of a whole list also those that stay as they were
+   */
+  public List<Server> update(News news) {
+    List<Server> entries = new ArrayList<>(news.providers());
     if (news.whole()) {
-      addresses.clear();
-      listed.clear();
+      addresses.keySet().retainAll(news.unread());
+      listed.keySet().retainAll(news.unread());
+      entries.addAll(listed.values());
     }
     addresses.putAll(news.addresses());
     for (Server server : news.providers()) {
@@ -28,6 +34,7 @@
         listed.put(server.name(), server);
       }
     }
+    return entries;
   }
 
   /** The address of a provider, or null when none is known. */
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -15,6 +15,7 @@
   CONFIG_REFUSED(Level.WARN, false, "a new configuration cannot be used; the old one stays", "why"),
   CONFIG_RESTART_NEEDED(Level.WARN, false, "keys changed that only a restart takes up; they stay", "keys"),
   DIRECTORY_FAILED(Level.WARN, true, "a watch on the directory failed, broke or fell silent", "why", "pause_ms"),
+  DIRECTORY_UNREAD(Level.WARN, true, "entries could not be read; those providers stay as they were", "providers"),
   DIRECTORY_MOVED(Level.INFO, false, "the directory is watched at another address", "address"),
   CLIENT_MALFORMED(Level.INFO, true, "a client sent what cannot be read or meant, and got ERR", "peer"),
   CLIENT_EVICTED(Level.INFO, true, "a connection that nothing is owed had to make room", "peer"),
--- a/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
@@ -18,7 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.function.ObjLongConsumer;
+import java.util.Set;
 
 /**
  * Keeps a watch on the directory. A watch that fails, breaks or falls silent is followed by another after a
@@ -39,6 +39,15 @@
     }
   }
 
+  /** What goes wrong with the watch, as the log is told. */
+  public interface Faults {
+    /** A watch failed; another follows after so many milliseconds. */
+    void failed(String why, long pause);
+
+    /** Entries for these providers could not be read; they stay as they were. */
+    void unread(Set<String> providers);
+  }
+
   private interface Step<V> {
     void on(Watch watch, V result) throws IOException;
   }
@@ -52,7 +61,7 @@
   private final SlotTable<Watch> watches = new SlotTable<>();
   private long current = SlotTable.NONE;
   private long index;
-  private final ObjLongConsumer<String> failures;
+  private final Faults faults;
   private WatchTiming timing;
   private long pause;
   private Timer timer;
@@ -63,16 +72,15 @@
   private final CompletionHandler<Integer, Long> read = handler(this::read);
 
   /**
-   * A watch on the directory at this address, from this version of the list on; {@code failures} is told why one
-   * failed, and after how many milliseconds another follows.
+   * A watch on the directory at this address, from this version of the list on.
    */
   public DirectoryWatch(Loop loop, Core core, AddressBook addresses, Counters counters, WatchTiming timing,
-      InetSocketAddress address, long index, long seed, ObjLongConsumer<String> failures) {
+      InetSocketAddress address, long index, long seed, Faults faults) {
     this.loop = loop;
     this.core = core;
     this.addresses = addresses;
     this.timing = timing;
-    this.failures = failures;
+    this.faults = faults;
     pause = timing.pause();
     this.counters = counters;
     this.address = address;
@@ -205,8 +213,11 @@
     pause = timing.pause();
     counters.add(Count.DIRECTORY_NEWS);
     index = news.index();
-    addresses.update(news);
-    core.directory(loop.now(), news.whole() ? ListKind.FULL : ListKind.CHANGES, news.providers());
+    if (!news.unread().isEmpty()) {
+      counters.add(Count.DIRECTORY_UNREAD);
+      faults.unread(news.unread());
+    }
+    core.directory(loop.now(), news.whole() ? ListKind.FULL : ListKind.CHANGES, addresses.update(news));
   }
 
   private void broken(long number, String why) {
@@ -234,7 +245,7 @@
     counters.add(Count.DIRECTORY_FAILURES);
     long wait = pause + (long) (random.nextDouble() * pause);
     pause = Math.min(2 * pause, timing.pauseMost());
-    failures.accept(why, wait / 1000);
+    faults.failed(why, wait / 1000);
     if (timer != null) {
       timer.cancel();
     }
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -93,8 +93,7 @@
         new Telling(log, latencies));
     watched = config.discovery();
     directory = new DirectoryWatch(loop, core, addresses, counters, operator.watchTiming(), watched,
-        config.known().index(), config.seed(), (why, pause) ->
-            log.tell(Event.DIRECTORY_FAILED, "the watch failed", "why", why, "pause_ms", pause));
+        config.known().index(), config.seed(), new Telling.Directory(log));
     clients.wire(core);
     providers.wire(core);
     limit(setup);
--- a/proxy/src/main/java/amberhoist/service/Telling.java
+++ b/proxy/src/main/java/amberhoist/service/Telling.java
@@ -6,7 +6,9 @@
 import amberhoist.log.EventLog;
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
+import amberhoist.net.DirectoryWatch;
 import java.util.Locale;
+import java.util.Set;
 
 /** Takes what the core tells of its work to the log and the latencies. */
 final class Telling implements Telemetry {
@@ -37,6 +39,19 @@
     log.tell(Event.PROVIDER_SILENT, "a provider returns nothing", "invocation", invocation, "provider", provider);
   }
 
+  /** Takes what goes wrong with the directory's watch to the log. */
+  record Directory(EventLog log) implements DirectoryWatch.Faults {
+    @Override
+    public void failed(String why, long pause) {
+      log.tell(Event.DIRECTORY_FAILED, "the watch failed", "why", why, "pause_ms", pause);
+    }
+
+    @Override
+    public void unread(Set<String> providers) {
+      log.tell(Event.DIRECTORY_UNREAD, "entries could not be read", "providers", String.join(",", providers));
+    }
+  }
+
   private static String word(Enum<?> constant) {
     return constant.name().toLowerCase(Locale.ROOT);
   }
--- a/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/CrossingStoriesTest.java
@@ -214,6 +214,30 @@
     }
   }
 
+  /** Failure met by reading: one entry that could not be read took the news of all others with it, for good. */
+  @Test
+  public void anEntryThatCannotBeReadCostsNobodyElseItsNews() throws Exception {
+    for (String odd : List.of("\"status\":\"resting\"", "\"status\":7", "\"address\":\"here\"",
+        "\"address\":{\"a\":[1]}", "\"weight\":\"much\"", "\"group\":\"g\"", "\"since_ms\":[]")) {
+      for (boolean whole : new boolean[] {true, false}) {
+        try (Peers peers = new Peers(2)) {
+          String list = peers.list(4, whole, "active", "leaving");
+          int end = list.indexOf("},{");
+          String key = odd.substring(0, odd.indexOf(':') + 1);
+          int from = list.indexOf(key);
+          int to = key.equals("\"since_ms\":") ? end : list.indexOf(',', from);
+          peers.watchTelling(list.substring(0, from) + odd + list.substring(to));
+          until(peers, Count.DIRECTORY_UNREAD, 1);
+          for (int i = 0; i < 3; i++) {
+            peers.client(opening("k" + i, 2000, ""));
+            assertTrue(odd + ": it serves still, and the other drains", peers.provider(0).line().startsWith("OPEN "));
+          }
+          assertEquals(0, peers.service.count(Count.DIRECTORY_FAILURES));
+        }
+      }
+    }
+  }
+
   /** The address moves while an object of the old directory is half read: nothing of it counts, in either order. */
   @Test
   public void whatTheOldDirectoryStillSaysChangesNothingOnceTheAddressHasMoved() throws Exception {
