Test that a crowd of idle clients takes no descriptor that the directory or a client needs

Need: the reserve of descriptors was measured by hand only. The program is started with 64 of them and its directory down; 300 clients rest there. It never holds more than 64, its watch comes when the directory does, and a usual client is served.

--- a/proxy/src/test/java/amberhoist/cli/ProcessTest.java
+++ b/proxy/src/test/java/amberhoist/cli/ProcessTest.java
@@ -13,6 +13,7 @@
 import java.io.Writer;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketAddress;
 import java.net.UnixDomainSocketAddress;
@@ -215,6 +216,75 @@
     }
   }
 
+  /** Idle clients fill the descriptors while the directory is down; it comes back, and so does a usual client. */
+  @Test
+  @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void idleClientsTakeNoDescriptorThatIsNeeded() throws Exception {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    ServerSocket free = new ServerSocket(0, 1, loopback);
+    InetSocketAddress address = (InetSocketAddress) free.getLocalSocketAddress();
+    free.close(); // the directory is down
+    List<Socket> idle = new ArrayList<>();
+    Process process = null;
+    try (ServerSocket provider = new ServerSocket(0, 64, loopback); ServerSocket directory = new ServerSocket()) {
+      String config = Files.readString(Path.of("../example/config.json"))
+          .replace("\"sockets\": 1024", "\"sockets\": 64")
+          .replaceAll("127.0.0.1:300[12]", "127.0.0.1:" + provider.getLocalPort());
+      ProcessBuilder builder = command("serve");
+      builder.environment().put("LB_CONFIG", Files.writeString(folder.resolve("few.json"), config).toString());
+      builder.environment().put("LB_LISTEN", "127.0.0.1:0");
+      builder.environment().put("LB_DISCOVERY", "127.0.0.1:" + address.getPort());
+      process = builder.redirectError(folder.resolve("few.log").toFile()).start();
+      int port = 0;
+      while (port == 0) {
+        assertTrue(process.isAlive());
+        port = Files.readString(folder.resolve("few.log")).lines().filter(line -> line.contains("serves on"))
+            .findFirst().map(line -> Integer.parseInt(line.substring(line.lastIndexOf(':') + 1))).orElse(0);
+      }
+      for (int i = 0; i < 300; i++) {
+        idle.add(new Socket(loopback, port));
+      }
+      assertEquals("PONG", answer(port, "PING\r\n"), "all before it have been taken in, or were ended");
+      assertTrue(descriptors(process) <= 64, "over its limit: " + descriptors(process));
+      directory.setReuseAddress(true);
+      directory.bind(address);
+      directory.setSoTimeout(PATIENCE);
+      directory.accept(); // the watch
+      provider.setSoTimeout(PATIENCE);
+      try (Socket client = new Socket(loopback, port); BufferedReader in = new BufferedReader(
+          new InputStreamReader(client.getInputStream(), StandardCharsets.ISO_8859_1))) {
+        client.getOutputStream().write("OPEN 1 1 c=scan-tiles,d=20000\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        provider.accept().getOutputStream().write("UP r\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals("UP r", in.readLine());
+      }
+      assertTrue(descriptors(process) <= 64, "over its limit: " + descriptors(process));
+      signal(process, "TERM");
+      assertEquals(0, process.waitFor());
+    } finally {
+      if (process != null) {
+        process.destroyForcibly();
+      }
+      for (Socket socket : idle) {
+        socket.close();
+      }
+    }
+  }
+
+  /** How many descriptors a process holds, but for the files that its classes come from, which in service are one. */
+  private static long descriptors(Process process) throws IOException {
+    long held = 0;
+    try (Stream<Path> all = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+      for (Path one : all.toList()) {
+        try {
+          held += Files.readSymbolicLink(one).toString().endsWith(".jar") ? 0 : 1;
+        } catch (IOException closed) {
+          // meanwhile
+        }
+      }
+    }
+    return held + 1;
+  }
+
   @Test
   void exitCodesAreTwoForUsageAndOneForFaults() throws Exception {
     assertEquals("2", run("sevre")[0]);
