Back off at a jammed shared call by how little each proxy sees, and fill cold providers

Ruled out: the directory (news at all proxies within a second), restarts (0.6 s), processor time (0.4 s in one second at most), one hung provider (time-outs at all).

Cause 1, learnWindow: each proxy cut its window by 0.7 for each failure it saw itself, down to 2/25 of a set-up; a hundred proxies that see a failure each few seconds together never fell under what the shared call can answer, so that all of it went to set-ups given up long ago. Now a cut counts the latencies since the last set-up from here, the least window goes with the square of the share, a set-up has the client's whole wait while the call is jammed, and one provider's time-out holds nobody for more than a few of the aim. Cause 2, homes: a proxy's part of a cold provider's budget came to it long before a client whose group has its home there. Now one of many proxies considers all cold providers that it has budget for, and asks those first. The budget goes by what warm providers could bear, as reports tell, not by what stands. Cause 3, homes: with a client or two a proxy the load check never bites, and all proxies began at the first third of a group's homes (19 of 36 providers used). Now one of many starts its walk anywhere among them, and has more of them.

--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -44,6 +44,7 @@
   static final double SPAN = 0.5; // of a group's due servers, over which the starts of its walks are spread
   static final double GOLDEN = 0.618034; // step between the starts of a group's walks: spreads them evenly
   static final double SPREAD = 1.5; // a group's homes hold this multiple of its load at their due part
+  static final double SPREAD_MANY = 2.5; // for one of many, whose own connections do not show which home is full
   static final double GROUPS_KEPT = 0.85; // of the counts by group at each sweep: a minute's memory
   static final double PRIOR = 9; // requests' worth of belief that a group not seen yet is a tenth of all
   static final int LEAST_HOMES = 3; // so that when one home fails its clients do not all go to one other
@@ -58,12 +59,15 @@
   static final double WINDOW_LEAST = 2;
   static final double WINDOW_MOST = 100;
   static final double WINDOW_CUT = 0.7; // of the window, when set-ups grow slow
+  static final double CUT_MOST = 0.3; // no one failure cuts by more: it may be the server's own
+  static final long PACE_MOST = 20_000_000; // between set-ups: what is known of the shared call is old by then
   static final double HOLD_PART = 0.5; // of a client's wait that a request may queue: it must still be set up
   static final int LEAST_LOADS = 5; // told of a class before its usual load counts
   static final int LOADS_KEPT = 100; // in that figure: few enough to follow the hours of a day
   static final double HOT = 0.85; // of what a server can do, asked of it: from here on some connections must go
   static final double COOL = 0.8; // and so much stays: messages are in time at nearly all of such servers
   static final double ELSEWHERE = 0.1; // a home in another zone must be so much cooler: crossing has its price
+  static final double LEAST_HEAT = 0.25; // of warm servers on average: a few reports may miss the busy ones
   static final long FRESH = 3_000_000; // a report counts so long: loads swing within some seconds
   static final long ASK_WAIT = 4 * TICK; // for reports, before a first attempt: round trips to another zone
   static final double ASK_RATE = 0.1e-6; // reports a microsecond for each connection here: of each server in seconds
@@ -89,6 +93,7 @@
   private int pairs; // of a server and a group that it holds any of
   private double totalSize; // of all ready servers, cold ones at their present part
   private double warmSize; // of those that are warm
+  private double warmHeat = 1; // asked of warm servers on average, as a part of what they can do
   private final Map<String, Integer> tenants = new HashMap<>(); // open connections
   private final Map<String, Usual> usuals = new HashMap<>();
   private double meanLoad = 10_000;
@@ -312,16 +317,16 @@
     return settingUp >= window || now < nextAt || trust < TRUST_MOST / 2 && trust < 1 + settingUp;
   }
 
-  /** How many set-ups may be out. Guards against all clients coming back at once, as after a restart: what the shared
-   * call cannot take queues there until attempts time out, each for nothing; held here, a request costs nothing. */
-  private void learnWindow(long now, boolean slow, long latency) {
+  /** Learns how many set-ups may be out: what the shared call cannot take queues there until all of it times out. */
+  private void learnWindow(long now, boolean slow, double latency) {
     if (!slow) {
       window = Math.min(WINDOW_MOST, Math.sqrt(window * window + 2 * share)); // many see few successes each
     } else if (now - cutAt > latency) { // those sent before the last cut say nothing new
-      window = Math.max(WINDOW_LEAST * share, window * WINDOW_CUT);
+      double unseen = latency > setUpAim ? Math.max(1, 1 / window) : 1; // latencies since the last set-up from here
+      window = Math.max(WINDOW_LEAST * share * share, window * Math.max(CUT_MOST, Math.pow(WINDOW_CUT, unseen)));
       cutAt = now;
     }
-    nextAt = now + (long) (latency * Math.max(0, 1 / window - 1));
+    nextAt = now + (long) Math.min(PACE_MOST, Math.min(latency, 2 * setUpAim) * Math.max(0, 1 / window - 1));
   }
 
   /** The decision, in order: the unexpired entry, then the rotation with the load check. */
@@ -330,17 +335,12 @@
     if (entry != null && now - entry.lastUsed() < TTL && usable(now, job, entry.node())) {
       return entry.node();
     }
-    for (Node node : rotation) { // one called back is tried soon, whoever is due
-      if (now >= node.tryAt && node.settingUp == 0 && usable(now, job, node)) {
-        return node;
-      }
-    }
-    return walk(now, job, false);
+    return rotation.stream().filter(node -> now >= node.tryAt && node.settingUp == 0 && usable(now, job, node))
+        .findFirst().orElseGet(() -> walk(now, job, false)); // one called back is tried soon, whoever is due
   }
 
-  /** The walk: the first server not crowded that passes the load check, by its report if any; else, unless strict, the
-   * least slow with room. None means: wait. Without a group it goes round the rotation by the index; with one round
-   * its homes, those in the own zone first where crossing costs, and the coolest known. */
+  /** The first server that passes the load check, by its report if any; else, unless strict, the least slow with room.
+   * Without a group in the rotation's order; with one among its homes, the coolest or those in the own zone first. */
   private Node walk(long now, Job job, boolean strict) {
     List<Node> around = job.group == null ? rotation : homes(now, job);
     int start = job.group == null ? index : 0;
@@ -379,8 +379,7 @@
     return good != null || strict ? good : best;
   }
 
-  /** What a unit of this one's load is worth, as a part of the most that it may be. Guards against the least worthy
-   * taking the room that is left of a full fleet, as a tenant far beyond its share. */
+  /** What a unit of this one's load is worth, as a part of the most that it may be; less beyond a tenant's share. */
   private double value(Job job) {
     String tenant = String.valueOf(job.request.tenant());
     double due = settings.value().shares().getOrDefault(tenant, Double.MAX_VALUE) / settings.balancers();
@@ -419,39 +418,38 @@
     return skip ? after : next;
   }
 
-  /** A group's homes: the first of an order hashed from it, the same at every balancer, as many as hold {@code SPREAD}
-   * times its part. Guards against every server paying for every group. */
+  /** The servers for a group: the first of an order hashed from its name; for one of many cold ones with budget too. */
   private List<Node> homes(long now, Job job) {
     List<Node> homes = new ArrayList<>();
-    double wanted = SPREAD * totalSize * job.group.seen / (seen + PRIOR); // few sightings hardly move the prior
+    double part = totalSize * job.group.seen / (seen + PRIOR); // few sightings hardly move the prior
+    double wanted = (share < 1 ? SPREAD_MANY : SPREAD) * part;
     for (Node node : order(job)) {
-      if ((homes.size() < LEAST_HOMES || wanted > 0) && usable(now, job, node)) {
+      if ((homes.size() < LEAST_HOMES || wanted > 0 || node.cold && share < 1) && usable(now, job, node)) {
         homes.add(node);
         wanted -= node.weight;
       }
     }
-    double skip = job.turn * SPAN * totalSize * job.group.seen / (seen + PRIOR); // lest all balancers fill the first
+    double skip = job.turn * (share < 1 ? SPREAD_MANY : SPAN) * part; // lest all balancers fill the first
     int start = 0;
     while (start < homes.size() && skip >= homes.get(start).weight) {
       skip -= homes.get(start++).weight;
     }
     Collections.rotate(homes, -start);
+    homes.sort(Comparator.comparing(node -> !node.cold || share == 1)); // stable: cold ones come first for one of many
     return homes;
   }
 
   private List<Node> order(Job job) {
     if (job.group.order == null) {
       job.group.order = new ArrayList<>(rotation);
-      for (Node node : rotation) { // weighted by size, so that a large server is the first home of more groups
-        node.rank = -Math.log(Ledger.mix(job.request.group(), node.info.name())) / node.info.size();
-      }
+      rotation.forEach(node -> // weighted by size, so that a large server is the first home of more groups
+          node.rank = -Math.log(Ledger.mix(job.request.group(), node.info.name())) / node.info.size());
       job.group.order.sort(Comparator.comparingDouble(node -> node.rank));
     }
     return job.group.order;
   }
 
-  /** How long messages take at a server, 0 when they are not slow. Guards against a server that nobody has told of
-   * since the own connections there were moved: the first one back is a trial, and more wait for what it tells. */
+  /** How long messages take at a server, 0 when they are not slow; the first connection after a pause is a trial. */
   private double slow(long now, Node node) {
     return now - Math.max(node.slowAt, node.trialAt) < SLOW_MEMORY && node.slow > CROWDED * shortestAim ? node.slow : 0;
   }
@@ -491,8 +489,7 @@
       return Double.MAX_VALUE;
     }
     double ends = rate.at(now) * node.weight / (warmSize > 0 ? warmSize : totalSize); // by what warm ones bear
-    // A proxy just started has seen hardly any end; but what is wanted here comes anew within the cold time.
-    double due = jobs.size() * node.weight / totalSize / settings.coldTime();
+    double due = jobs.size() * node.weight / totalSize / settings.coldTime() / warmHeat; // before any end
     double perMicro = COLD_CAUTION * settings.coldMultiple() * Math.max(ends, due);
     node.budget = Math.min(Math.max(1, perMicro * settings.coldWindow()),
         node.budget + perMicro * (now - node.budgetAt));
@@ -510,6 +507,8 @@
   /** What a unit of load is worth at most, and sizes, now: a cold server counts with the part that it has. */
   private void weigh(long now) {
     mostWorth = settings.classes().stream().mapToDouble(type -> worth(type, usual(type))).max().orElse(1);
+    warmHeat = Math.max(LEAST_HEAT, rotation.stream().filter(node -> !node.cold && node.known(now, FRESH))
+        .mapToDouble(node -> node.heat).average().orElse(1));
     totalSize = warmSize = 0;
     for (Node node : rotation) {
       double warmth = warmth(now, node);
@@ -530,7 +529,9 @@
     settingUp++;
     node.budget -= 1;
     record(now, job.request.client(), node);
-    long timeout = job.attempts >= settings.maxAttempts() ? left : Math.min(left, Math.max(job.type.aim(), left / 2));
+    boolean jammed = share < 1 && window < WINDOW_FIRST * share / 2; // the shared call, so that others are as late
+    boolean last = jammed || job.attempts >= settings.maxAttempts();
+    long timeout = last ? left : Math.min(left, Math.max(job.type.aim(), left / 2));
     actions.send(job.request.id(), node.info.name(), timeout);
   }
 
@@ -693,8 +694,7 @@
     }
   }
 
-  /** Guards against a crowded server keeping its clients. Delays grow by what is asked of it beyond what it can do, and
-   * all balancers hear the same: each moves its own part of what is too much, lest all, in step, move too many. */
+  /** Moves this balancer's own part of what is asked of a server beyond what it can do, by the growth of its delays. */
   private void relieve(long now, Node node) {
     double slow = slow(now, node);
     if (slow < JAMMED * shortestAim || node.slowAt <= node.relievedAt) {
