Size heap, direct memory and what is kept of providers by need; measure slopes by size

Need: no limit below 1,024 on providers, and memory by need; the size that is coming. Seen: `deploy/serve.sh` held the heap to 64 MB and direct memory to 8 MB whatever memory was granted; the schedules of delays were kept for 1,024 providers; with 88,400 standing connections each load report cost 16 ms, since connections were sorted also where none was to move (`lab slope report`: 0.18 us a connection), and ten come in a second.

Change: heap is half of what is granted beyond 24 MB, direct memory a sixteenth; schedules of 65,536 providers; a report of a provider that is not hot looks at no connection. `lab slope` measures placement, groups, standing connections, reports and lists over one to three decades and fits a line.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -25,11 +25,12 @@
 # Where operators have a door they start a new version beside the old one: the two share the memory.
 [ -z "$mgmt" ] || mb=$((mb / 2))
 heap=$(((mb - 24) / 2))
-[ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 8 ] || heap=8
+direct=$((mb / 16))
+[ "$direct" -ge 8 ] || direct=8
 # The build's archive of loaded classes makes for quick restarts; without it the proxy runs as well.
 archive=proxy/target/amberhoist.jsa
 [ -r "$archive" ] && archive=-XX:SharedArchiveFile=$archive || archive=-Xshare:auto
 # The platform knows IPv4 only; left to itself the runtime opens IPv6 sockets and maps addresses into them.
 exec java "-Xmx${heap}m" -Xms8m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto "$archive" \
-  -XX:-UsePerfData -XX:MaxDirectMemorySize=8m -Djava.net.preferIPv4Stack=true -jar proxy/target/amberhoist.jar serve
+  -XX:-UsePerfData "-XX:MaxDirectMemorySize=${direct}m" -Djava.net.preferIPv4Stack=true -jar proxy/target/amberhoist.jar serve
--- a/lab/src/main/java/amberhoist/lab/LabCommand.java
+++ b/lab/src/main/java/amberhoist/lab/LabCommand.java
@@ -17,7 +17,8 @@
 
 /** The laboratory's commands. */
 @Command(name = "lab", description = "Stand-ins and tools to try and measure a proxy with.",
-    subcommands = {RunCommand.class, MutantsCommand.class, GroupCommand.class, ScaleCommand.class, FuzzCommand.class})
+    subcommands = {RunCommand.class, MutantsCommand.class, GroupCommand.class, ScaleCommand.class, SlopeCommand.class,
+        FuzzCommand.class})
 final class LabCommand implements Runnable {
   @Spec
   private CommandSpec spec;
@@ -25,7 +26,7 @@
   @Override
   public void run() {
     throw new ParameterException(spec.commandLine(),
-        "say which: run, mutants, fuzz, group, scale, reference, try, stand-in, client or flood");
+        "say which: run, mutants, fuzz, group, scale, slope, reference, try, stand-in, client or flood");
   }
 
   /** A newcomer's first look. */
--- a/proxy/src/main/java/amberhoist/core/Told.java
+++ b/proxy/src/main/java/amberhoist/core/Told.java
@@ -42,7 +42,7 @@
 
   /** The beats of all providers, by name. */
   static final class Beats {
-    private static final int KEPT = 1024; // one that comes after so many others is learned anew
+    private static final int KEPT = 1 << 16; // one that comes after so many others is learned anew
 
     private final Map<String, Beat> beats = new LinkedHashMap<>() {
       @Override
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -708,7 +708,7 @@
 
   /** Moves so much load off a server, where a home has room or {@code anyway}. A part of a connection is a chance. */
   private void relieve(long now, Node node, double most, boolean anyway) {
-    List<Job> here = new ArrayList<>(jobs.values());
+    List<Job> here = new ArrayList<>(most > 0 ? jobs.values() : List.of()); // of all standing ones: many
     here.removeIf(job -> job.node != node || !job.open || job.moved || job.group == null); // no group, no homes
     here.forEach(job -> job.foreign = !homes(now, job).contains(node)); // first: that frees the group's cost
     here.sort(Comparator.comparing((Job job) -> !job.foreign).thenComparing(this::value)
