Rename LoadReadings, DelaySchedule, ManagementServer, ManagementActions, DescriptorBudget

Need: the earlier house style's words (Told, Beat, Door, Desk, Lobby) are withdrawn; names are to say what a thing is. Change: names alone, in code, tests and docs; log events and their names stay, since operators filter by them.

--- a/lab/src/main/java/amberhoist/lab/StandInDirectory.java
+++ b/lab/src/main/java/amberhoist/lab/StandInDirectory.java
@@ -7,7 +7,7 @@
 
 /** A directory that tells each watch the whole list, again whenever it changes. */
 final class StandInDirectory extends StandIn {
-  private static final long BEAT = 2000; // milliseconds between empty lines
+  private static final long PERIOD = 2000; // milliseconds between empty lines
 
   private final Consumer<String> log;
   private int index;
@@ -38,7 +38,7 @@
       String line = "";
       synchronized (this) {
         if (told == index) {
-          wait(BEAT);
+          wait(PERIOD);
         }
         if (told != index) {
           told = index;
--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProvider.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProvider.java
@@ -19,7 +19,7 @@
  */
 final class EmulatedProvider {
   private static final double MICRO = 1e6;
-  private static final long BEAT = 1_000_000; // between delays told to a proxy
+  private static final long PERIOD = 1_000_000; // between delays told to a proxy
   private static final double NEAR = 0.02; // of its capacity left: messages take no longer than that makes them
   private static final double SHED = 3 * MICRO; // work piled up, in time, from which the newest connection is dropped
 
@@ -237,7 +237,7 @@
 
   /** Once a second: delays told, and the newest connections dropped where too much is piled up. */
   private void beat() {
-    world.time.after(BEAT, () -> {
+    world.time.after(PERIOD, () -> {
       if (process && !vanished && !hung && connections > 0) {
         settle();
         tellDelays();
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -43,7 +43,7 @@
   private Timing timing;
   private final SlotTable<Invocation> invocations = new SlotTable<>();
   private final Set<String> suspended = new HashSet<>(); // kept apart from what the directory says
-  private final Told.Beats beats = new Told.Beats();
+  private final LoadReadings.DelaySchedules schedules = new LoadReadings.DelaySchedules();
 
   /** A core for one balancer, which is started by {@link #start}. */
   public Core(Balancer balancer, Wheel wheel, Commands commands, Counters counters, Limits limits,
@@ -171,7 +171,7 @@
       telemetry.answered(number, Answer.UP, events.now() - it.arrived);
       it.cancelTimers();
       it.phase = Phase.UP;
-      it.told = beats.told(it.called);
+      it.told = schedules.told(it.called);
       silence.joined(number, it);
       commands.join(it.client, provider);
       if (it.balanced) {
@@ -190,7 +190,7 @@
     return it != null && it.provider == provider && it.phase == Phase.UP ? it : null;
   }
 
-  /** A joined connection's provider has sent a LOAD line with this figure; see {@link Told}. */
+  /** A joined connection's provider has sent a LOAD line with this figure; see {@link LoadReadings}. */
   public void load(long time, long number, long provider, double figure) {
     event(time, () -> {
       Invocation it = joined(number, provider);
--- a/proxy/src/main/java/amberhoist/core/Invocation.java
+++ b/proxy/src/main/java/amberhoist/core/Invocation.java
@@ -18,7 +18,7 @@
   }
 
   final long client;
-  Told told; // from the moment it is joined to a provider
+  LoadReadings told; // from the moment it is joined to a provider
   final long arrived;
   final String type;
   /** Set for a connection that stood before the start, and then the provider that has it. */
--- a/proxy/src/main/java/amberhoist/front/line/LineClients.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClients.java
@@ -10,7 +10,7 @@
 import amberhoist.metrics.Outcomes.Outcome;
 import amberhoist.net.Connection;
 import amberhoist.net.Connection.Role;
-import amberhoist.net.Lobby;
+import amberhoist.net.DescriptorBudget;
 import amberhoist.net.Loop;
 import amberhoist.net.Transport;
 import java.io.IOException;
@@ -32,7 +32,7 @@
 
   private final Loop loop;
   private final Transport transport;
-  private final Lobby lobby;
+  private final DescriptorBudget descriptors;
   private final Counters counters;
   private final EventLog log;
   private final Map<String, Long> ids = new HashMap<>(); // of the clients held or joined
@@ -43,10 +43,10 @@
   private long leaveAdvice;
 
   /** A front for clients on this transport; {@link #wire} names its core. */
-  public LineClients(Loop loop, Transport transport, Lobby lobby, Counters counters, EventLog log) {
+  public LineClients(Loop loop, Transport transport, DescriptorBudget descriptors, Counters counters, EventLog log) {
     this.loop = loop;
     this.transport = transport;
-    this.lobby = lobby;
+    this.descriptors = descriptors;
     this.counters = counters;
     this.log = log;
   }
@@ -154,7 +154,7 @@
     c.attach(opening);
     transport.taken(c);
     ids.put(opening.id(), c.number());
-    if (!lobby.room(0) || lobby.crowded() && opening.provider() == null) {
+    if (!descriptors.room(0) || descriptors.crowded() && opening.provider() == null) {
       counters.add(Count.CROWDED_OUT);
       counters.outcomes().taken(opening.type());
       counters.outcomes().ended(opening.type(), Outcome.REFUSED);
--- a/proxy/src/main/java/amberhoist/mgmt/Door.java
+++ b/proxy/src/main/java/amberhoist/mgmt/ManagementServer.java
@@ -18,7 +18,7 @@
  * The operators' door: takes calls at an address of its own, on a thread of its own, so that no caller waits behind
  * another or behind the clients. Callers are bounded in number and time.
  */
-public final class Door implements AutoCloseable {
+public final class ManagementServer implements AutoCloseable {
   /** Callers at once; above that the one that has been here longest goes. */
   static final int CALLERS = 24;
   /** What the door holds at most: its callers, the listener, and the group's poller with its wake-up pair. */
@@ -77,7 +77,7 @@
   };
 
   /** Listens there, and answers by these routes from now on; {@code faults} is told what goes wrong meanwhile. */
-  public Door(InetSocketAddress listen, Routes routes, Consumer<Throwable> faults) throws IOException {
+  public ManagementServer(InetSocketAddress listen, Routes routes, Consumer<Throwable> faults) throws IOException {
     this.routes = routes;
     this.faults = faults;
     group = AsynchronousChannelGroup.withFixedThreadPool(1, task -> {
--- a/proxy/src/main/java/amberhoist/net/Acceptor.java
+++ b/proxy/src/main/java/amberhoist/net/Acceptor.java
@@ -15,7 +15,7 @@
   private static final long LAST_ACCEPTS = 20_000; // what waits is taken in within some ticks
 
   private final Loop loop;
-  private final Lobby lobby;
+  private final DescriptorBudget descriptors;
   private final Counters counters;
   private final Consumer<AsynchronousSocketChannel> front;
   private SocketLimits limits;
@@ -47,10 +47,10 @@
   };
 
   /** An acceptor that hands what it accepts to a front. */
-  public Acceptor(Loop loop, Lobby lobby, Counters counters, SocketLimits limits,
+  public Acceptor(Loop loop, DescriptorBudget descriptors, Counters counters, SocketLimits limits,
       Consumer<AsynchronousSocketChannel> front) {
     this.loop = loop;
-    this.lobby = lobby;
+    this.descriptors = descriptors;
     this.counters = counters;
     this.limits = limits;
     this.front = front;
@@ -95,7 +95,7 @@
     if (!server.isOpen()) {
       return;
     }
-    paused = !leaving && !lobby.room(1);
+    paused = !leaving && !descriptors.room(1);
     if (!paused) {
       server.accept(null, accepted);
     } else {
--- a/proxy/src/main/java/amberhoist/net/Lobby.java
+++ b/proxy/src/main/java/amberhoist/net/DescriptorBudget.java
@@ -12,7 +12,7 @@
  * for the provider connection that it will want, and while that does not fit, one that nothing is owed goes: the
  * oldest that has been answered, else the one that has been silent longest.
  */
-public final class Lobby {
+public final class DescriptorBudget {
   private static final int SPARE = 16;
 
   private final Set<Connection> fresh = new LinkedHashSet<>(); // no whole first line yet, the longest silent first
@@ -22,8 +22,8 @@
   private int providers;
   private int most;
 
-  /** A lobby that ends connections in this way; they leave it on that occasion. */
-  public Lobby(Consumer<Connection> evict) {
+  /** A descriptors that ends connections in this way; they leave it on that occasion. */
+  public DescriptorBudget(Consumer<Connection> evict) {
     this.evict = evict;
   }
 
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -22,7 +22,7 @@
  */
 public final class Transport {
   private final Loop loop;
-  private final Lobby lobby;
+  private final DescriptorBudget descriptors;
   private SocketLimits limits;
   private final SlotTable<Connection> connections = new SlotTable<>();
 
@@ -44,10 +44,10 @@
     void on(Connection connection, V result);
   }
 
-  /** A transport on this loop, whose descriptors this lobby counts. */
-  public Transport(Loop loop, Lobby lobby, SocketLimits limits) {
+  /** A transport on this loop, whose descriptors this descriptors counts. */
+  public Transport(Loop loop, DescriptorBudget descriptors, SocketLimits limits) {
     this.loop = loop;
-    this.lobby = lobby;
+    this.descriptors = descriptors;
     this.limits = limits;
   }
 
@@ -75,7 +75,7 @@
   public Connection accepted(AsynchronousSocketChannel channel, Handler handler) {
     Connection c = new Connection(channel, Role.NEW, handler, limits.linger());
     c.number = connections.add(c);
-    lobby.arrived(c);
+    descriptors.arrived(c);
     c.connected = true;
     noDelay(c);
     return c;
@@ -107,7 +107,7 @@
     AsynchronousSocketChannel channel = AsynchronousSocketChannel.open(loop.group());
     Connection c = new Connection(channel, Role.PROVIDER, handler, limits.linger());
     c.number = connections.add(c);
-    lobby.taken(c);
+    descriptors.taken(c);
     noDelay(c);
     return c;
   }
@@ -133,7 +133,7 @@
   /** A new client has asked for a connection: from now on it counts as one that is served. */
   public void taken(Connection c) {
     c.role = Role.CLIENT;
-    lobby.taken(c);
+    descriptors.taken(c);
   }
 
   /** The connection with this number, or null when it is closed. */
@@ -201,7 +201,7 @@
       return;
     }
     if (c.role == Role.NEW) {
-      lobby.heard(c);
+      descriptors.heard(c);
     }
     if (c.finishing) {
       c.in.clear(); // whatever still comes is of no interest
@@ -273,7 +273,7 @@
       drop(c); // nothing can be said to it any more
     } else if (!c.finishing && holds(c)) {
       c.finishing = true;
-      lobby.ends(c);
+      descriptors.ends(c);
       c.handler.released(c);
       long patience = 2 * limits.linger(); // for a peer that takes nothing in
       c.timer(loop.wheel().arm(loop.now() + patience, at -> drop(c)));
@@ -286,7 +286,7 @@
   public void drop(Connection c) {
     if (holds(c)) {
       connections.remove(c.number);
-      lobby.left(c);
+      descriptors.left(c);
       c.handler.released(c);
       c.close();
     }
--- a/proxy/src/main/java/amberhoist/service/Desk.java
+++ b/proxy/src/main/java/amberhoist/service/ManagementActions.java
@@ -20,7 +20,7 @@
 import java.util.function.Supplier;
 
 /** Takes what the operators' door asks for to the loop's thread, which owns all that it is answered from. */
-final class Desk implements Operations {
+final class ManagementActions implements Operations {
   private final Loop loop;
   private final Core core;
   private final AddressBook addresses;
@@ -30,7 +30,7 @@
   private final Succession succession;
 
   /** A desk for this core; {@code stopping} is asked on the loop's thread, {@code succession} null for none. */
-  Desk(Loop loop, Core core, AddressBook addresses, Counters counters, BooleanSupplier stopping,
+  ManagementActions(Loop loop, Core core, AddressBook addresses, Counters counters, BooleanSupplier stopping,
       EventLog log, Succession succession) {
     this.loop = loop;
     this.core = core;
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -21,12 +21,12 @@
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
-import amberhoist.mgmt.Door;
+import amberhoist.mgmt.ManagementServer;
 import amberhoist.mgmt.Routes;
 import amberhoist.net.Acceptor;
 import amberhoist.net.Connection;
 import amberhoist.net.DirectoryWatch;
-import amberhoist.net.Lobby;
+import amberhoist.net.DescriptorBudget;
 import amberhoist.net.Loop;
 import amberhoist.net.Transport;
 import amberhoist.upgrade.Succession;
@@ -57,7 +57,7 @@
   private final Counters counters = new Counters();
   private final Latencies latencies = new Latencies();
   private final AddressBook addresses = new AddressBook();
-  private final Lobby lobby = new Lobby(this::evict);
+  private final DescriptorBudget descriptors = new DescriptorBudget(this::evict);
   private final Transport transport;
   private final LineClients clients;
   private final Acceptor acceptor;
@@ -67,7 +67,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile Setup setup;
   private volatile AdminSocket admin;
-  private volatile Door door;
+  private volatile ManagementServer door;
   private volatile Succession succession;
   private int elsewhere; // descriptors held by other processes of this proxy; of the loop's thread
   private List<String> restartNeeded = List.of(); // of the loop's thread
@@ -82,11 +82,11 @@
     log = new EventLog(config.name(), operator.logSettings());
     loop = new Loop(fault -> log.fault(Event.LOOP_FAULT, "a task failed", fault),
         late -> latencies.record(Span.LOOP_LAG, late));
-    transport = new Transport(loop, lobby, operator.socketLimits());
-    clients = new LineClients(loop, transport, lobby, counters, log);
+    transport = new Transport(loop, descriptors, operator.socketLimits());
+    clients = new LineClients(loop, transport, descriptors, counters, log);
     LineProviders providers = new LineProviders(loop, transport, counters, addresses, (provider, fault) ->
         log.tell(Event.PROVIDER_UNDIALLED, "cannot connect", "provider", provider, "why", fault));
-    acceptor = new Acceptor(loop, lobby, counters, operator.socketLimits(), clients::accepted);
+    acceptor = new Acceptor(loop, descriptors, counters, operator.socketLimits(), clients::accepted);
     Switchboard switchboard = new Switchboard(transport, providers, this::ensureWatch,
         message -> log.tell(Event.MODULE_SAID, message));
     core = new Core(new Policy(), loop.wheel(), switchboard, counters, config.limits(), operator.timing(),
@@ -108,13 +108,13 @@
   }
 
   private void limit(Setup by) {
-    int own = OWN_DESCRIPTORS + (by.config().mgmt() == null ? 0 : Door.DESCRIPTORS);
+    int own = OWN_DESCRIPTORS + (by.config().mgmt() == null ? 0 : ManagementServer.DESCRIPTORS);
     int all = by.config().sockets();
     // Each process of an upgrade may take half of what neither holds.
-    all = elsewhere == 0 ? all : own + lobby.held() + Math.max(0, all - elsewhere - own - lobby.held()) / 2;
-    lobby.limit(Math.max(LEAST_DESCRIPTORS, all - own));
+    all = elsewhere == 0 ? all : own + descriptors.held() + Math.max(0, all - elsewhere - own - descriptors.held()) / 2;
+    descriptors.limit(Math.max(LEAST_DESCRIPTORS, all - own));
     if (succession != null) {
-      succession.holds(own + lobby.held());
+      succession.holds(own + descriptors.held());
     }
     counters.outcomes().classes(by.config().settings().classes().stream().map(RequestClass::name).toList());
     clients.limits(by.operator().lineLimits(), by.config().settings().maxRetryAfter());
@@ -180,7 +180,7 @@
       elsewhere = descriptors;
       limit(setup);
     }), why -> log.tell(Event.UPGRADE_FAILED, "what is kept for another process cannot be kept", "why", why));
-    succession.holds(OWN_DESCRIPTORS + Door.DESCRIPTORS);
+    succession.holds(OWN_DESCRIPTORS + ManagementServer.DESCRIPTORS);
     succession.join();
   }
 
@@ -196,7 +196,7 @@
   private void openDoor() throws IOException {
     InetSocketAddress address = setup.config().mgmt();
     if (address != null) {
-      door = new Door(address, new Routes(new Desk(loop, core, addresses, counters, () -> stopping, log,
+      door = new ManagementServer(address, new Routes(new ManagementActions(loop, core, addresses, counters, () -> stopping, log,
           succession)),
           fault -> log.tell(Event.DOOR_FAILED, "a caller could not be taken in", "why", fault));
       log.tell(Event.DOOR_LISTENS, "operators are answered", "address", door.address());
--- a/proxy/src/main/java/amberhoist/upgrade/Succession.java
+++ b/proxy/src/main/java/amberhoist/upgrade/Succession.java
@@ -29,7 +29,7 @@
     void elsewhere(int descriptors);
   }
 
-  private static final long BEAT = 100; // ms between looks at the record
+  private static final long PERIOD = 100; // ms between looks at the record
   private static final int FILES = 3; // what a change of the record opens for a moment
 
   private final String token = UUID.randomUUID().toString();
@@ -60,7 +60,7 @@
     seen = kept(record -> record.with(self));
     host.suspended(seen.suspended(), () -> { });
     beat();
-    thread.scheduleWithFixedDelay(this::beat, BEAT, BEAT, TimeUnit.MILLISECONDS);
+    thread.scheduleWithFixedDelay(this::beat, PERIOD, PERIOD, TimeUnit.MILLISECONDS);
   }
 
   /** From now on this process serves. */
--- a/proxy/src/test/java/amberhoist/core/ToldTest.java
+++ b/proxy/src/test/java/amberhoist/core/LoadReadingsTest.java
@@ -10,8 +10,8 @@
  * Failure met: LOAD lines with the milliseconds of a hung provider's messages were taken for loads; the
  * module never heard that it was crowded, and a fleet day kept 0.68.
  */
-public class ToldTest {
-  private final Told told = new Told(new Told.Beat());
+public class LoadReadingsTest {
+  private final LoadReadings told = new LoadReadings(new LoadReadings.DelaySchedule());
 
   @Test
   public void aRunOnceASecondIsADelayAndGivesTheLoadBack() {
@@ -20,7 +20,7 @@
     assertTrue(told.delay(7_271_000, 9462.479));
     assertEquals(33_000, told.load(), 0);
     assertTrue("and the last of the run, back under", told.delay(8_270_000, 12.3));
-    assertFalse("a load between two beats", told.delay(8_700_000, 41_000));
+    assertFalse("a load between two schedules", told.delay(8_700_000, 41_000));
     assertEquals(41_000, told.load(), 0);
   }
 
@@ -38,18 +38,18 @@
   /** Failure met: proxies took the first delay of each run and connection for a load, and filled a jammed provider. */
   @Test
   public void theBeatOfAProviderOutlivesTheConnectionThatBroughtIt() {
-    Told.Beat beat = new Told.Beat();
-    Told first = new Told(beat);
+    LoadReadings.DelaySchedule beat = new LoadReadings.DelaySchedule();
+    LoadReadings first = new LoadReadings(beat);
     assertFalse(first.delay(1_157_000, 207));
     assertTrue(first.delay(2_157_000, 864));
-    Told next = new Told(beat);
+    LoadReadings next = new LoadReadings(beat);
     assertTrue("the run goes on elsewhere", next.delay(3_152_000, 1243));
-    Told later = new Told(beat);
+    LoadReadings later = new LoadReadings(beat);
     assertFalse("off the beat", later.delay(9_400_000, 300));
     assertFalse("on it, but a load by its size", later.delay(10_152_000, 33_000));
     assertTrue("a later run, at its first line", later.delay(20_153_000, 300));
     assertEquals(33_000, later.load(), 0);
-    assertFalse("on the beat of another provider", new Told(new Told.Beat()).delay(21_152_000, 300));
+    assertFalse("on the beat of another provider", new LoadReadings(new LoadReadings.DelaySchedule()).delay(21_152_000, 300));
   }
 
   /** Failure met: a provider 1.4 s behind was never known for it, since loads came between and over 1 s none began. */
@@ -69,6 +69,6 @@
     assertFalse(told.delay(4_900_000, 33_000));
     assertTrue("but hardly by so much", told.delay(6_270_000, 312));
     assertEquals(33_000, told.load(), 0);
-    assertFalse("nothing to compare with", new Told(new Told.Beat()).delay(6_270_000, 312));
+    assertFalse("nothing to compare with", new LoadReadings(new LoadReadings.DelaySchedule()).delay(6_270_000, 312));
   }
 }
--- a/proxy/src/test/java/amberhoist/service/DoorStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/ManagementStoriesTest.java
@@ -18,7 +18,7 @@
 
 /** Stories at the operators' door. */
 @Timeout(60)
-class DoorStoriesTest {
+class ManagementStoriesTest {
   private static final ObjectMapper JSON = new ObjectMapper();
 
   /** An answer: status line, headers and body as they came. */
--- a/proxy/src/test/java/amberhoist/service/UpgradeStoriesTest.java
+++ b/proxy/src/test/java/amberhoist/service/UpgradeStoriesTest.java
@@ -40,11 +40,11 @@
   }
 
   private static String call(Service service, String method, String path) throws Exception {
-    return DoorStoriesTest.call(service, method + ' ' + path + " HTTP/1.1\r\n\r\n").status();
+    return ManagementStoriesTest.call(service, method + ' ' + path + " HTTP/1.1\r\n\r\n").status();
   }
 
   private static JsonNode figures(Service service) throws Exception {
-    return DoorStoriesTest.figures(service);
+    return ManagementStoriesTest.figures(service);
   }
 
   private static Peer client(int port, String text) throws Exception {
