Keep a group's homes few where reports show which of them have room

A group costs a provider there as much as three connections, once for each provider that holds any of it.

Change: only one of many that gets no reports (SPREAD_BLIND) spreads its homes and starts anywhere among them. Memory of groups is measured from 10,000 on, under that the collector hides it.

--- a/lab/src/main/java/amberhoist/lab/slope/Measurement.java
+++ b/lab/src/main/java/amberhoist/lab/slope/Measurement.java
@@ -30,11 +30,12 @@
     }
   },
   /** Memory that the module keeps for groups, with 300 providers. */
-  GROUPS_MEMORY("groups", "KB", 10, 100, 1000, 10_000) {
+  GROUPS_MEMORY("groups", "KB", 10_000, 20_000, 50_000, 100_000) {
     @Override
     double once(int size) {
-      long before = used();
       ModuleBench bench = new ModuleBench(PROVIDERS, size, false);
+      bench.place();
+      long before = used();
       for (int i = 0; i < size; i++) {
         bench.place();
       }
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -44,7 +44,7 @@
   static final double SPAN = 0.5; // of a group's due servers, over which the starts of its walks are spread
   static final double GOLDEN = 0.618034; // step between the starts of a group's walks: spreads them evenly
   static final double SPREAD = 1.5; // a group's homes hold this multiple of its load at their due part
-  static final double SPREAD_MANY = 2.5; // for one of many, whose own connections do not show which home is full
+  static final double SPREAD_BLIND = 2.5; // for one of many with no reports, who cannot see which home is full
   static final double GROUPS_KEPT = 0.85; // of the counts by group at each sweep: a minute's memory
   static final double PRIOR = 9; // requests' worth of belief that a group not seen yet is a tenth of all
   static final int LEAST_HOMES = 3; // so that when one home fails its clients do not all go to one other
@@ -422,14 +422,14 @@
   private List<Node> homes(long now, Job job) {
     List<Node> homes = new ArrayList<>();
     double part = totalSize * job.group.seen / (seen + PRIOR); // few sightings hardly move the prior
-    double wanted = (share < 1 ? SPREAD_MANY : SPREAD) * part;
+    double wanted = (share < 1 && !asks ? SPREAD_BLIND : SPREAD) * part;
     for (Node node : order(job)) {
       if ((homes.size() < LEAST_HOMES || wanted > 0 || node.cold && share < 1) && usable(now, job, node)) {
         homes.add(node);
         wanted -= node.weight;
       }
     }
-    double skip = job.turn * (share < 1 ? SPREAD_MANY : SPAN) * part; // lest all balancers fill the first
+    double skip = job.turn * (share < 1 && !asks ? SPREAD_BLIND : SPAN) * part; // lest all balancers fill the first
     int start = 0;
     while (start < homes.size() && skip >= homes.get(start).weight) {
       skip -= homes.get(start++).weight;
