--- a/lab/src/main/java/amberhoist/lab/slope/Measurement.java
+++ b/lab/src/main/java/amberhoist/lab/slope/Measurement.java
@@ -74,6 +74,32 @@
       return (System.nanoTime() - before) / THOUSAND / reports;
     }
   },
+  /** Resident memory of the program as a process, with so many standing connections. */
+  RELAY_MEMORY("connections", "KB", 100, 300, 1000, 3000, 6000) {
+    @Override
+    double once(int size) {
+      try (RelayBench bench = new RelayBench(size)) {
+        bench.connect(size);
+        return bench.residentKb();
+      } catch (IOException fault) {
+        throw new UncheckedIOException(fault);
+      }
+    }
+  },
+  /** Processor time of that process for a line there and back, 64 bytes, over 1,000 connections. */
+  RELAY_LINES("lines", "ms", 10_000, 30_000, 100_000, 300_000) {
+    @Override
+    double once(int size) {
+      try (RelayBench bench = new RelayBench(1000)) {
+        bench.connect(1000);
+        double before = bench.processorMicros();
+        bench.lines(size);
+        return (bench.processorMicros() - before) / THOUSAND;
+      } catch (IOException fault) {
+        throw new UncheckedIOException(fault);
+      }
+    }
+  },
   /** A whole list of the directory, read. */
   LIST("providers", "us a list", 30, 100, 300, 1000, 3000) {
     @Override
--- a/proxy/src/main/java/amberhoist/cli/Cli.java
+++ b/proxy/src/main/java/amberhoist/cli/Cli.java
@@ -55,6 +55,7 @@
     for (Extension extension : ServiceLoader.load(Extension.class)) {
       tree.addSubcommand(extension.command());
     }
+    tree.setCaseInsensitiveEnumValuesAllowed(true); // of all commands that are there by now
     return tree.setExecutionExceptionHandler((fault, command, parsed) -> {
       command.getErr().println(fault.getMessage() == null ? fault.toString() : fault.getMessage());
       return 1;
