--- a/lab/src/main/java/amberhoist/lab/group/GroupWorld.java
+++ b/lab/src/main/java/amberhoist/lab/group/GroupWorld.java
@@ -11,7 +11,6 @@
 import amberhoist.rollout.Sequence.Change;
 import amberhoist.rollout.Sequence.Verdict;
 import io.microraft.RaftEndpoint;
-import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.transport.Transport;
 import java.io.IOException;
@@ -198,7 +197,7 @@
   }
 
   /** The machine of one member: its disk lives on when its process dies. */
-  private final class Machine implements GroupMember.Listener {
+  private final class Machine implements GroupMember.Listener, MachineExecutor.Machine {
     private final Member self;
     private final EmulatedDisk disk;
     private final List<byte[]> copies = new ArrayList<>();
@@ -265,7 +264,7 @@
           note(to, () -> to.grant(this, askedAt));
         }
       }
-      new Turns(ofLife).schedule(() -> turn(ofLife, renews ? clock() + RENEW : renewAt), TURN, TimeUnit.MICROSECONDS);
+      executor(ofLife).schedule(() -> turn(ofLife, renews ? clock() + RENEW : renewAt), TURN, TimeUnit.MICROSECONDS);
     }
 
     private void lead(Rollout rollout) {
@@ -306,11 +305,11 @@
     /** Has something done at another member, on its thread, when a message has reached it. */
     private void note(Machine to, Runnable then) {
       if (to == this) {
-        new Turns(life).execute(then);
+        executor(life).execute(then);
       } else {
         new Links(life).carry(to, () -> {
           if (to.member != null) {
-            to.new Turns(to.life).execute(then);
+            to.executor(to.life).execute(then);
           }
         });
       }
@@ -320,6 +319,20 @@
       return self.name();
     }
 
+    private MachineExecutor executor(int ofLife) {
+      return new MachineExecutor(time, this, ofLife);
+    }
+
+    @Override
+    public int life() {
+      return life;
+    }
+
+    @Override
+    public long pausedUntil() {
+      return pausedUntil;
+    }
+
     void start() {
       life++;
       int ofLife = life;
@@ -329,13 +342,13 @@
       try {
         Log log = new Log(Defects.disk(mutant, disk, copies));
         Rollout rollout = new Rollout(Defects.sequence(mutant));
-        member = new GroupMember(self, all, log, rollout, new Links(ofLife), new Turns(ofLife), new MonotonicClock(time),
+        member = new GroupMember(self, all, log, rollout, new Links(ofLife), executor(ofLife), new MonotonicClock(time),
             chance.bits(), this);
       } catch (IOException refused) {
         throw new IllegalStateException(name() + " refuses its log", refused);
       }
       member.start();
-      new Turns(ofLife).execute(() -> turn(ofLife, clock()));
+      executor(ofLife).execute(() -> turn(ofLife, clock()));
     }
 
     void startAgain() {
@@ -364,7 +377,7 @@
     void take(RaftMessage message) {
       if (member != null) {
         int ofLife = life;
-        new Turns(ofLife).execute(() -> {
+        executor(ofLife).execute(() -> {
           try {
             member.handle(message);
             if (member.stuck()) {
@@ -422,42 +435,5 @@
         return true;
       }
     }
-
-    /** One task after the other, in virtual time; none after its life has ended. */
-    private final class Turns implements RaftNodeExecutor {
-      private final int ofLife;
-
-      Turns(int ofLife) {
-        this.ofLife = ofLife;
-      }
-
-      private void at(long when, Runnable task) {
-        time.at(Math.max(when, pausedUntil), () -> {
-          if (life != ofLife) {
-            return;
-          }
-          if (time.now() < pausedUntil) {
-            at(pausedUntil, task);
-          } else {
-            task.run();
-          }
-        });
-      }
-
-      @Override
-      public void execute(Runnable task) {
-        at(time.now(), task);
-      }
-
-      @Override
-      public void submit(Runnable task) {
-        at(time.now(), task);
-      }
-
-      @Override
-      public void schedule(Runnable task, long delay, TimeUnit unit) {
-        at(time.now() + unit.toMicros(delay), task);
-      }
-    }
   }
 }
--- a/lab/src/main/java/amberhoist/lab/scale/ControllerMachine.java
+++ b/lab/src/main/java/amberhoist/lab/scale/ControllerMachine.java
@@ -12,12 +12,12 @@
 import amberhoist.lab.emulator.MonotonicClock;
 import amberhoist.lab.emulator.VirtualTime;
 import amberhoist.lab.group.EmulatedDisk;
+import amberhoist.lab.group.MachineExecutor;
 import amberhoist.rollout.Leases;
 import amberhoist.rollout.Rollout;
 import amberhoist.rollout.Sequence;
 import amberhoist.rollout.Sequence.Verdict;
 import io.microraft.RaftEndpoint;
-import io.microraft.executor.RaftNodeExecutor;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.RaftMessage;
@@ -27,7 +27,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The machine of a controller: its disk outlives its process. */
-final class ControllerMachine implements Network.Site, GroupMember.Listener {
+final class ControllerMachine implements Network.Site, GroupMember.Listener, MachineExecutor.Machine {
   /** Where the other machines are, and who is told what happens here. */
   interface Surroundings {
     ControllerMachine controller(String name);
@@ -84,6 +84,20 @@
     return self.name();
   }
 
+  private MachineExecutor executor(int ofLife) {
+    return new MachineExecutor(time, this, ofLife);
+  }
+
+  @Override
+  public int life() {
+    return life;
+  }
+
+  @Override
+  public long pausedUntil() {
+    return pausedUntil;
+  }
+
   long clock() {
     return start + (long) ((time.now() - start) * rate);
   }
@@ -103,7 +117,7 @@
       controller = Controller.replica(name(), names, voters, distributor, this::tell, this::clock);
     }
     controller.learned();
-    new Turns(ofLife).execute(() -> turn(ofLife));
+    executor(ofLife).execute(() -> turn(ofLife));
   }
 
   private static List<String> names(List<Member> members) {
@@ -114,7 +128,7 @@
     try {
       List<Member> voters = surroundings.voters();
       return new GroupMember(self, voters, new Log(disk), new Rollout(new Sequence()), new Links(ofLife),
-          new Turns(ofLife), new MonotonicClock(time), chance.bits(), this);
+          executor(ofLife), new MonotonicClock(time), chance.bits(), this);
     } catch (IOException refused) {
       throw new IllegalStateException(name() + " refuses its log", refused);
     }
@@ -123,7 +137,7 @@
   private void turn(int ofLife) {
     work(controller::turn);
     mostSubscribers = Math.max(mostSubscribers, distributor.subscribers());
-    new Turns(ofLife).schedule(() -> turn(ofLife), TURN, TimeUnit.MICROSECONDS);
+    executor(ofLife).schedule(() -> turn(ofLife), TURN, TimeUnit.MICROSECONDS);
   }
 
   private void work(Runnable task) {
@@ -181,7 +195,7 @@
   /** Has this done on its thread, unless its process ends before. */
   void execute(Runnable task) {
     if (controller != null) {
-      new Turns(life).execute(() -> work(task));
+      executor(life).execute(() -> work(task));
     }
   }
 
@@ -283,41 +297,4 @@
       crash(0);
     }
   }
-
-  /** One task after the other, in virtual time; none after its life has ended. */
-  private final class Turns implements RaftNodeExecutor {
-    private final int ofLife;
-
-    Turns(int ofLife) {
-      this.ofLife = ofLife;
-    }
-
-    private void at(long when, Runnable task) {
-      time.at(Math.max(when, pausedUntil), () -> {
-        if (life != ofLife) {
-          return;
-        }
-        if (time.now() < pausedUntil) {
-          at(pausedUntil, task);
-        } else {
-          task.run();
-        }
-      });
-    }
-
-    @Override
-    public void execute(Runnable task) {
-      at(time.now(), task);
-    }
-
-    @Override
-    public void submit(Runnable task) {
-      at(time.now(), task);
-    }
-
-    @Override
-    public void schedule(Runnable task, long delay, TimeUnit unit) {
-      at(time.now() + unit.toMicros(delay), task);
-    }
-  }
 }
--- a/lab/src/main/java/amberhoist/lab/scale/Network.java
+++ b/lab/src/main/java/amberhoist/lab/scale/Network.java
@@ -3,7 +3,7 @@
 import amberhoist.lab.emulator.Chance;
 import amberhoist.lab.emulator.VirtualTime;
 
-/** Carries messages with delay and jitter, and loses those over links that are cut. Messages may overtake each other. */
+/** Carries messages with delay and jitter, and loses those over links that are cut. They may overtake each other. */
 final class Network {
   private static final double JITTER = 0.25;
   private static final double SLOW_PART = 0.001; // of messages
--- a/lab/src/main/java/amberhoist/lab/scale/Operators.java
+++ b/lab/src/main/java/amberhoist/lab/scale/Operators.java
@@ -63,7 +63,7 @@
     return text.toString().getBytes(StandardCharsets.UTF_8);
   }
 
-  /** Asks whoever leads, as any controller says, from the latest version on; and on until it is told what came of it. */
+  /** Asks whoever leads, from the latest version on, again and again until it is told what came of it. */
   private void ask(long orderedAt, String id, byte[] document) {
     boolean[] ended = new boolean[1];
     Runnable again = () -> {
--- a/lab/src/main/java/amberhoist/lab/scale/ScaleChecker.java
+++ b/lab/src/main/java/amberhoist/lab/scale/ScaleChecker.java
@@ -41,7 +41,7 @@
   private final Map<HollowProxy, Long> decidedBy = new HashMap<>();
   private final Map<HollowProxy, Held> heldBy = new HashMap<>();
   private final Map<String, TreeMap<Long, Integer>> admitted = new HashMap<>(); // by distributor, then second
-  private final Map<Long, Integer> late = new LinkedHashMap<>(); // by version: proxies that did not decide by it in time
+  private final Map<Long, Integer> late = new LinkedHashMap<>(); // by version: proxies that missed its time
   private final Histogram waits = new Histogram(LONGEST_WAIT, 3);
   private final Histogram changeWaits = new Histogram(LONGEST_WAIT, 3);
   private final Map<Long, Long> lastWait = new HashMap<>(); // by version
--- a/lab/src/main/java/amberhoist/lab/scale/ScaleFaults.java
+++ b/lab/src/main/java/amberhoist/lab/scale/ScaleFaults.java
@@ -6,6 +6,6 @@
   NONE,
   /** The ordinary day's failures at a hundred times their rate: machines, restarts, racks, zones, regions cut off. */
   ORDINARY,
-  /** The ordinary ones, and each few seconds a controller that crashes or stands still, or a region or zone that is lost. */
+  /** The ordinary ones, and each few seconds a controller, region or zone that is lost, stopped or cut off. */
   HARSH
 }
--- a/lab/src/main/java/amberhoist/lab/slope/RelayBench.java
+++ b/lab/src/main/java/amberhoist/lab/slope/RelayBench.java
@@ -16,8 +16,8 @@
 import java.util.List;
 
 /**
- * The program as a process of its own with so many standing connections, all clients and the provider on one thread here.
- * Lines go from clients to the provider and back.
+ * The program as a process of its own with so many standing connections; all clients and the provider are on one thread
+ * here. Lines go from clients to the provider and back.
  */
 final class RelayBench implements AutoCloseable {
   private static final int LINE = 64; // bytes
@@ -49,8 +49,9 @@
         + "\"snapshot\":true,\"endpoints\":[{\"name\":\"a\",\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"here\","
         + "\"type\":\"t\",\"group\":0,\"status\":\"active\",\"weight\":1.0,\"since_ms\":0}]},\"settings\":{\"zone\":"
         + "\"here\",\"slot-no\":0,\"balancers\":1,\"discovery\":\"subscribe\",\"lanes\":[{\"name\":\"c\",\"effect\":"
-        + "\"pure\",\"key-scope\":\"all\",\"aim\":9000000,\"give-up\":20000000,\"gain\":1.0}],\"family-info\":{\"mode\":"
-        + "\"proxy\",\"groups\":false,\"message-aim\":[100000]},\"limits\":{\"dial-timeout\":9000000,\"max-attempts\":3,"
+        + "\"pure\",\"key-scope\":\"all\",\"aim\":9000000,\"give-up\":20000000,\"gain\":1.0}],\"family-info\":{"
+        + "\"mode\":\"proxy\",\"groups\":false,\"message-aim\":[100000]},\"limits\":{\"dial-timeout\":9000000,"
+        + "\"max-attempts\":3,"
         + "\"retry-after\":true,\"max-retry-after\":1500000},\"rules\":{\"ask-within\":10000000,\"cold\":0,"
         + "\"cold-share\":1.0,\"fall\":1000000,\"overload-factor\":4.0}}}";
   }
@@ -58,8 +59,8 @@
   private Process start() throws IOException {
     ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
         "-Xms8m", "-Xmx2g", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "--add-opens",
-        "java.base/sun.nio.ch=ALL-UNNAMED", "-cp", System.getProperty("java.class.path"), "amberhoist.cli.Main", "serve",
-        "--listen", "127.0.0.1:0", "--directory", "127.0.0.1:1", "--set", "silence.alone=6s", "--set",
+        "java.base/sun.nio.ch=ALL-UNNAMED", "-cp", System.getProperty("java.class.path"), "amberhoist.cli.Main",
+        "serve", "--listen", "127.0.0.1:0", "--directory", "127.0.0.1:1", "--set", "silence.alone=6s", "--set",
         "silence.together=6s"); // a stall of this side is no silence of the provider
     builder.environment().keySet().removeIf(name -> name.startsWith("LB_") || name.startsWith("AMBERHOIST_"));
     builder.environment().put("LB_CONFIG", config.toString());
--- a/proxy/src/main/java/amberhoist/distribution/DistributorOrder.java
+++ b/proxy/src/main/java/amberhoist/distribution/DistributorOrder.java
@@ -6,8 +6,8 @@
 
 /**
  * The order in which a subscriber asks distributors: those of its own region first, then those of the other regions in
- * the order in which its region lists its neighbours; within a region by rendezvous hashing. Each subscriber can work it
- * out alone, a lost distributor's subscribers spread over all that are left, and the others' stay where they are.
+ * the order in which its region lists its neighbours; within a region by rendezvous hashing. Each subscriber can work
+ * it out alone, a lost distributor's subscribers spread over all that are left, and the others' stay where they are.
  */
 public final class DistributorOrder {
   /** A distributor and the region that it is in. */
@@ -15,7 +15,7 @@
 
   private DistributorOrder() {}
 
-  /** The distributors for this subscriber, preferred ones first; {@code regions} lists its own region and then others. */
+  /** The distributors for this subscriber, preferred ones first; {@code regions} are its own and then others. */
   public static List<String> of(String subscriber, List<String> regions, List<Location> distributors) {
     List<Location> order = new ArrayList<>(distributors);
     order.sort(Comparator.comparingInt((Location each) -> rank(regions, each.region()))
--- a/proxy/src/main/java/amberhoist/distribution/Subscriber.java
+++ b/proxy/src/main/java/amberhoist/distribution/Subscriber.java
@@ -323,7 +323,7 @@
     send(distributor(), new Fetch(name, incarnation, offer.version(), offer.base(), download.received()));
   }
 
-  /** Takes a complete document: one in force is held, a pending one is prepared, and nothing is decided until it ends. */
+  /** Takes a complete document: holds one in force; prepares a pending one and decides nothing until it ends. */
   private void take(long now, Document document, boolean pending) {
     if (!pending) {
       install(now, document);
--- a/proxy/src/main/java/amberhoist/distribution/Transfer.java
+++ b/proxy/src/main/java/amberhoist/distribution/Transfer.java
@@ -8,9 +8,9 @@
 import java.util.zip.Inflater;
 
 /**
- * The bytes that lead a subscriber from one document to another: a range of the base is replaced. The base is an earlier
- * version where the distributor still has it, else the empty document, which makes the transfer a snapshot. The inserted
- * bytes are deflated.
+ * The bytes that lead a subscriber from one document to another: a range of the base is replaced. The base is an
+ * earlier version where the distributor still has it, else the empty document, which makes the transfer a snapshot. The
+ * inserted bytes are deflated.
  */
 public record Transfer(long version, long base, int from, int removed, long checksum, byte[] body) {
   /** The largest document that is taken, in bytes. */
--- a/proxy/src/main/java/amberhoist/distribution/controller/Controller.java
+++ b/proxy/src/main/java/amberhoist/distribution/controller/Controller.java
@@ -16,8 +16,8 @@
 
 /**
  * One of the fleet's controllers: the distributor for a part of the proxies, and either a member of the group or a
- * replica that its leader keeps up to date. It renews the distributor's lease with the leader and reports what all of its
- * subscribers have prepared; while it leads it grants leases and concludes changes. All calls belong to one thread.
+ * replica that its leader keeps up to date. It renews the distributor's lease with the leader and reports what all of
+ * its subscribers have prepared; while it leads it grants leases and concludes changes. All calls belong to one thread.
  */
 public final class Controller {
   private static final long RENEW = 500_000;
--- a/proxy/src/main/java/amberhoist/distribution/controller/Replica.java
+++ b/proxy/src/main/java/amberhoist/distribution/controller/Replica.java
@@ -9,8 +9,8 @@
 import java.util.zip.DataFormatException;
 
 /**
- * What a controller that is no member of the group knows of its log, as leaders have told it. Each update is a prefix of
- * the one log, so the one with the highest index counts, whoever sent it. It keeps nothing on disk.
+ * What a controller that is no member of the group knows of its log, as leaders have told it. Each update is a prefix
+ * of the one log, so the one with the highest index counts, whoever sent it. It keeps nothing on disk.
  */
 final class Replica implements Follower {
   private final List<String> voters;
@@ -68,7 +68,7 @@
     leader = answered ? to : null;
   }
 
-  /** Takes an update; whether it led on. One that does not fit what is held is left out, and the next request says so. */
+  /** Takes an update; whether it led on. One that does not fit what is held is left out; the next request says so. */
   boolean take(StateUpdate update) {
     if (update.index() <= applied) {
       return false;
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -25,8 +25,8 @@
 import amberhoist.mgmt.Routes;
 import amberhoist.net.Acceptor;
 import amberhoist.net.Connection;
-import amberhoist.net.DirectoryWatch;
 import amberhoist.net.DescriptorBudget;
+import amberhoist.net.DirectoryWatch;
 import amberhoist.net.Loop;
 import amberhoist.net.Transport;
 import amberhoist.upgrade.Succession;
@@ -196,8 +196,8 @@
   private void openDoor() throws IOException {
     InetSocketAddress address = setup.config().mgmt();
     if (address != null) {
-      door = new ManagementServer(address, new Routes(new ManagementActions(loop, core, addresses, counters, () -> stopping, log,
-          succession)),
+      door = new ManagementServer(address,
+          new Routes(new ManagementActions(loop, core, addresses, counters, () -> stopping, log, succession)),
           fault -> log.tell(Event.DOOR_FAILED, "a caller could not be taken in", "why", fault));
       log.tell(Event.DOOR_LISTENS, "operators are answered", "address", door.address());
     }
--- a/proxy/src/test/java/amberhoist/core/LoadReadingsTest.java
+++ b/proxy/src/test/java/amberhoist/core/LoadReadingsTest.java
@@ -49,7 +49,8 @@
     assertFalse("on it, but a load by its size", later.delay(10_152_000, 33_000));
     assertTrue("a later run, at its first line", later.delay(20_153_000, 300));
     assertEquals(33_000, later.load(), 0);
-    assertFalse("on the beat of another provider", new LoadReadings(new LoadReadings.DelaySchedule()).delay(21_152_000, 300));
+    LoadReadings another = new LoadReadings(new LoadReadings.DelaySchedule());
+    assertFalse("on the schedule of another provider", another.delay(21_152_000, 300));
   }
 
   /** Failure met: a provider 1.4 s behind was never known for it, since loads came between and over 1 s none began. */
