--- a/lab/src/main/java/amberhoist/lab/scale/HollowProxy.java
+++ b/lab/src/main/java/amberhoist/lab/scale/HollowProxy.java
@@ -6,6 +6,7 @@
 import amberhoist.lab.emulator.Chance;
 import amberhoist.lab.emulator.VirtualTime;
 import java.util.List;
+import java.util.Random;
 import java.util.random.RandomGenerator;
 
 /** A proxy without relay and clients: its subscriber, its clock, and what its control costs. */
@@ -50,7 +51,7 @@
     zone = topology.zoneOfProxy(number);
     distributors = topology.distributorsOf(number);
     rate = 1 + DistributionSettings.DRIFT / 2 * (2 * chance.part() - 1);
-    random = new java.util.Random(chance.bits());
+    random = new Random(chance.bits());
     disturbedAt = time.now();
   }
 
--- a/lab/src/main/java/amberhoist/lab/scale/Network.java
+++ b/lab/src/main/java/amberhoist/lab/scale/Network.java
@@ -2,6 +2,7 @@
 
 import amberhoist.lab.emulator.Chance;
 import amberhoist.lab.emulator.VirtualTime;
+import java.util.Arrays;
 
 /** Carries messages with delay and jitter, and loses those over links that are cut. They may overtake each other. */
 final class Network {
@@ -37,7 +38,7 @@
 
   /** Joins all regions. */
   void heal() {
-    java.util.Arrays.fill(regionCutUntil, 0);
+    Arrays.fill(regionCutUntil, 0);
   }
 
   /** Whether this zone's region is cut off from the others. */
--- a/lab/src/main/java/amberhoist/lab/scale/ScaleWorld.java
+++ b/lab/src/main/java/amberhoist/lab/scale/ScaleWorld.java
@@ -13,10 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** One run of the control plane in virtual time. */
 public final class ScaleWorld {
@@ -40,7 +38,6 @@
   private final List<HollowProxy> proxies = new ArrayList<>();
   private final Map<String, HollowProxy> proxiesByName = new HashMap<>();
   private final Map<String, Long> admittedBefore = new HashMap<>();
-  private final Set<Long> inForce = new HashSet<>();
   private final Operators operators;
   private final Disturbance disturbance;
   private final Chance chance;
@@ -189,7 +186,6 @@
       if (!rollout.pending() && rollout.latest() > concludedUpTo) {
         concludedUpTo = rollout.latest();
         if (rollout.inForce() == rollout.latest()) {
-          inForce.add(rollout.inForce());
           checker.inForce(rollout.inForce());
         } else {
           withdrawn++;
--- a/lab/src/main/java/amberhoist/lab/slope/RelayBench.java
+++ b/lab/src/main/java/amberhoist/lab/slope/RelayBench.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -120,7 +121,7 @@
         try {
           ready(key);
         } catch (IOException fault) {
-          throw new java.io.UncheckedIOException(fault);
+          throw new UncheckedIOException(fault);
         }
       }, 1000);
       if (System.nanoTime() > end || !process.isAlive()) {
--- a/proxy/src/main/java/amberhoist/distribution/DistributionSettings.java
+++ b/proxy/src/main/java/amberhoist/distribution/DistributionSettings.java
@@ -1,5 +1,7 @@
 package amberhoist.distribution;
 
+import amberhoist.rollout.Leases;
+
 /**
  * Figures of the distribution; the same at distributors and subscribers of a fleet. Times are in microseconds.
  *
@@ -17,8 +19,8 @@
  */
 public record DistributionSettings(String fleet, long renewEvery, long lease, long stage, int admissionsPerSecond,
     int mostSubscribers, int bytesPerSecond, int chunk, long backoffFirst, long backoffMost, long returnEvery) {
-  /** Clocks differ in rate by this part at most, as in {@link amberhoist.rollout.Leases}. */
-  public static final double DRIFT = amberhoist.rollout.Leases.DRIFT;
+  /** Clocks differ in rate by this part at most, as in {@link Leases}. */
+  public static final double DRIFT = Leases.DRIFT;
 
   private static final long MILLI = 1_000;
   private static final long SECOND = 1_000_000;
