--- a/proxy/src/test/java/amberhoist/decide/FleetTest.java
+++ b/proxy/src/test/java/amberhoist/decide/FleetTest.java
@@ -94,4 +94,33 @@
       assertTrue(fleet.most("cold" + i, WINDOW) <= most, fleet.most("cold" + i, WINDOW) + " within the window to one");
     }
   }
+
+  /** What warm servers could bear beyond what stands, as their reports tell, is borne by a cold one in its part as well. */
+  @Test
+  void coldServersGetMoreWhereReportsShowThatServersBearMore() {
+    FleetBench fleet = new FleetBench(MANY, settings(true, MANY), 5 * MS, 500 * MS, 130);
+    fleet.change(servers("warm", 18, State.READY, 0));
+    fleet.stand(600, IntStream.range(0, 18).mapToObj(i -> "warm" + i).toList());
+    fleet.pass(4 * S);
+    fleet.change(servers("cold", 18, State.READY, fleet.now));
+    for (int i = 0; i < 400; i++) { // fifty a second
+      String client = "late" + i;
+      fleet.at(fleet.now + i * (8 * S / 400), () -> fleet.arrive(client));
+    }
+    fleet.pass(8 * S);
+    int cold = IntStream.range(0, 18).map(i -> fleet.standing("cold" + i)).sum();
+    assertTrue(cold > 200, cold + " stand on new servers");
+  }
+
+  /** Guards against one server that hangs holding a proxy's set-ups for as long as several of its time-outs. */
+  @Test
+  void oneTimeOutHoldsFurtherSetUpsForAFewOfTheAim() {
+    Bench bench = new Bench();
+    bench.start(settings(false, MANY));
+    bench.full("a", "b", "c", "d");
+    bench.ask(1, "k1", null);
+    bench.balancer.ended(bench.now, 1, 0, Balancer.Outcome.TIMED_OUT, 5 * S, true);
+    bench.pass(4 * S);
+    assertTrue(bench.ask(2, "k2", null) != null, "is set up");
+  }
 }
