--- a/proxy/src/test/java/amberhoist/decide/FleetTest.java
+++ b/proxy/src/test/java/amberhoist/decide/FleetTest.java
@@ -95,7 +95,7 @@
     }
   }
 
-  /** What warm servers could bear beyond what stands, as their reports tell, is borne by a cold one in its part as well. */
+  /** What warm servers could bear beyond what stands, as their reports tell, a cold one bears in its part as well. */
   @Test
   void coldServersGetMoreWhereReportsShowThatServersBearMore() {
     FleetBench fleet = new FleetBench(MANY, settings(true, MANY), 5 * MS, 500 * MS, 130);
