--- a/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
@@ -32,15 +32,23 @@
     final AsynchronousSocketChannel channel;
     final WatchParser parser = new WatchParser();
     final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+    final InetSocketAddress address;
+    final long startedAt; // microseconds
     ByteBuffer request;
+    boolean answered; // at least one update has come
 
-    Watch(AsynchronousSocketChannel channel) {
+    Watch(AsynchronousSocketChannel channel, InetSocketAddress address, long startedAt) {
       this.channel = channel;
+      this.address = address;
+      this.startedAt = startedAt;
     }
   }
 
-  /** Receives the faults of the watch, to log them. */
+  /** Receives what becomes of the watch, to log it. */
   public interface Listener {
+    /** The directory at this address has sent the first update of a watch, this long after the watch started. */
+    void onWatchAnswered(InetSocketAddress address, long index, long millis);
+
     /** A watch has failed; the next one starts after the given pause in milliseconds. */
     void onWatchFailed(String reason, long pauseMillis);
 
@@ -144,7 +152,7 @@
   private void start() {
     counters.increment(Count.DIRECTORY_WATCHES);
     try {
-      Watch watch = new Watch(AsynchronousSocketChannel.open(loop.channelGroup()));
+      Watch watch = new Watch(AsynchronousSocketChannel.open(loop.channelGroup()), address, loop.now());
       long watchId = watches.add(watch);
       currentId = watchId;
       String host = address.getAddress().getHostAddress() + ':' + address.getPort();
@@ -183,7 +191,7 @@
       watch.parser.feed(watch.buffer, lines::add);
     } finally {
       for (byte[] line : lines) {
-        onLine(line);
+        onLine(watch, line);
       }
     }
     if (!lines.isEmpty()) { // only complete lines extend the timeout: a line might never end
@@ -198,7 +206,7 @@
     }
   }
 
-  private void onLine(byte[] line) throws IOException {
+  private void onLine(Watch watch, byte[] line) throws IOException {
     if (line.length == 0) {
       pauseMicros = timing.initialPauseMicros();
       return;
@@ -211,6 +219,10 @@
     pauseMicros = timing.initialPauseMicros();
     counters.increment(Count.DIRECTORY_NEWS);
     index = update.index();
+    if (!watch.answered) {
+      watch.answered = true;
+      listener.onWatchAnswered(watch.address, index, (loop.now() - watch.startedAt) / 1000);
+    }
     if (!update.unreadable().isEmpty()) {
       counters.increment(Count.DIRECTORY_UNREAD);
       listener.onUnreadableEntries(update.unreadable());
--- a/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
+++ b/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
@@ -7,6 +7,7 @@
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
 import amberhoist.net.DirectoryWatch;
+import java.net.InetSocketAddress;
 import java.util.Locale;
 import java.util.Set;
 
@@ -39,8 +40,14 @@
     log.log(Event.PROVIDER_SILENT, "the provider is silent", "invocation", invocation, "provider", provider);
   }
 
-  /** Logs failures of the directory watch. */
-  record DirectoryFaultLog(EventLog log) implements DirectoryWatch.Listener {
+  /** Logs answers and failures of the directory watch. */
+  record DirectoryWatchLog(EventLog log) implements DirectoryWatch.Listener {
+    @Override
+    public void onWatchAnswered(InetSocketAddress address, long index, long millis) {
+      log.log(Event.DIRECTORY_ANSWERED, "the directory at " + address + " has answered", "address", address, "index",
+          index, "after_ms", millis);
+    }
+
     @Override
     public void onWatchFailed(String why, long pauseMillis) {
       log.log(Event.DIRECTORY_FAILED, "the directory watch failed", "why", why, "pause_ms", pauseMillis);
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -93,7 +93,7 @@
         new LoggingTelemetry(log, latencies));
     directoryAddress = platform.directoryAddress();
     directoryWatch = new DirectoryWatch(loop, core, registry, counters, operator.watchTiming(), directoryAddress,
-        platform.initialUpdate().index(), platform.seed(), new LoggingTelemetry.DirectoryFaultLog(log));
+        platform.initialUpdate().index(), platform.seed(), new LoggingTelemetry.DirectoryWatchLog(log));
     clients.setCore(core);
     providers.setCore(core);
     applyLimits(config);
@@ -179,7 +179,7 @@
     if (platform.managementAddress() == null || platform.sharedFolder() == null) {
       return;
     }
-    coordinator = new UpgradeCoordinator(platform.sharedFolder(), new UpgradeListener(loop, core, heldByOthers -> {
+    coordinator = new UpgradeCoordinator(platform.sharedFolder(), new UpgradeListener(loop, core, log, heldByOthers -> {
       otherDescriptors = heldByOthers;
       applyLimits(config);
     }), reason -> log.log(Event.UPGRADE_FAILED, "cannot read or store the upgrade record", "why", reason));
--- a/proxy/src/main/java/amberhoist/service/UpgradeListener.java
+++ b/proxy/src/main/java/amberhoist/service/UpgradeListener.java
@@ -1,6 +1,8 @@
 package amberhoist.service;
 
 import amberhoist.core.Core;
+import amberhoist.log.Event;
+import amberhoist.log.EventLog;
 import amberhoist.net.EventLoop;
 import amberhoist.upgrade.UpgradeCoordinator;
 import java.util.HashMap;
@@ -12,6 +14,7 @@
 final class UpgradeListener implements UpgradeCoordinator.Listener {
   private final EventLoop loop;
   private final Core core;
+  private final EventLog log;
   private final IntConsumer otherDescriptorsListener;
 
   /**
@@ -20,15 +23,19 @@
    * @param otherDescriptorsListener called on the loop's thread with the number of descriptors that the other
    *     processes hold
    */
-  UpgradeListener(EventLoop loop, Core core, IntConsumer otherDescriptorsListener) {
+  UpgradeListener(EventLoop loop, Core core, EventLog log, IntConsumer otherDescriptorsListener) {
     this.loop = loop;
     this.core = core;
+    this.log = log;
     this.otherDescriptorsListener = otherDescriptorsListener;
   }
 
   @Override
   public void onSuspensionsChanged(Set<String> providers, Runnable onApplied) {
     loop.postUrgent(() -> {
+      if (!core.suspended().equals(providers)) {
+        log.log(Event.UPGRADE_SUSPENSIONS, "suspensions have changed", "providers", String.join(",", providers));
+      }
       core.setSuspended(loop.now(), providers);
       onApplied.run();
     });
