Deliver a suspension by what this process has applied, not by comparing two readings

Cause: UpgradeCoordinator handed suspensions on when a look at the shared record differed from lastSeen, but its own updates (mark of readiness, number of descriptors) set lastSeen to the stored record, with all that the other one had put there since, and handed nothing on.

Evidence: with upgrade.suspensions logged, the new process of each broken upgrade never applied the suspension that the old one had stored up to 80 ms before the new one's yes. Both tests of UpgradeCoordinatorTest hold a process between its look and its update; both failed before ("expected [p0] but was []"), every time.

Change: AppliedRecord keeps what this process has applied; every record read or written goes past it. It works since no reading is skipped any more: whichever brings a change first hands it on, and a later one finds it applied.

--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
@@ -41,7 +41,8 @@
   private final Listener listener;
   private final Consumer<String> failureListener;
   private final ScheduledThreadPoolExecutor executor;
-  private UpgradeRecord lastSeen = UpgradeRecord.EMPTY;
+  private final AppliedRecord applied = new AppliedRecord();
+  private Map<String, String> lastBindings = Map.of();
   private Member self = new Member(token, ProcessHandle.current().pid(), false, 0);
   private int otherDescriptors;
   private volatile int heldDescriptors;
@@ -66,8 +67,7 @@
 
   /** Registers this process before it serves. When this returns, the listener has received all suspensions. */
   public void join() {
-    lastSeen = updateRecord(record -> record.with(self));
-    listener.onSuspensionsChanged(lastSeen.suspended(), () -> { });
+    lastBindings = updateRecord(record -> record.with(self)).bindings();
     poll();
     executor.scheduleWithFixedDelay(this::poll, POLL_PERIOD_MILLIS, POLL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -76,7 +76,7 @@
   public CompletableFuture<Void> markReady() {
     return CompletableFuture.runAsync(() -> {
       self = new Member(token, self.pid(), true, heldDescriptors);
-      lastSeen = updateRecord(record -> record.with(self));
+      updateRecord(record -> record.with(self));
     }, executor);
   }
 
@@ -93,8 +93,9 @@
     CompletableFuture<Boolean> result = new CompletableFuture<>();
     executor.execute(() -> {
       try {
-        lastSeen = file.update(record -> withoutDeadMembers(record.with(provider, suspended)).with(self));
-        listener.onSuspensionsChanged(lastSeen.suspended(), () -> result.complete(true));
+        UpgradeRecord stored = file.update(record -> withoutDeadMembers(record.with(provider, suspended)).with(self));
+        applied.takeSuspensions(stored);
+        listener.onSuspensionsChanged(stored.suspended(), () -> result.complete(true));
       } catch (IOException | RuntimeException failure) {
         reportFailure(String.valueOf(failure.getMessage()));
         result.complete(false);
@@ -116,14 +117,12 @@
   private void poll() {
     try {
       UpgradeRecord current = file.read();
-      if (!current.suspended().equals(lastSeen.suspended())) {
-        listener.onSuspensionsChanged(current.suspended(), () -> { });
-      }
+      deliverSuspensions(current);
       // Only the process that started last receives the bindings: clients are moved to it.
-      if (!current.bindings().equals(lastSeen.bindings()) && !current.hasSuccessor(token)) {
+      if (!current.bindings().equals(lastBindings) && !current.hasSuccessor(token)) {
         listener.onBindingsChanged(current.bindings());
       }
-      lastSeen = current;
+      lastBindings = current.bindings();
       int others = withoutDeadMembers(current).members().stream().filter(member -> !member.token().equals(token))
           .mapToInt(Member::descriptors).sum();
       if (others != otherDescriptors || others > 0) {
@@ -132,21 +131,31 @@
       }
       if (heldDescriptors != self.descriptors() && (others > 0 || self.descriptors() == 0)) {
         self = new Member(token, self.pid(), self.ready(), heldDescriptors);
-        lastSeen = updateRecord(record -> record.with(self));
+        updateRecord(record -> record.with(self));
       }
     } catch (RuntimeException failure) {
       reportFailure(String.valueOf(failure.getMessage()));
     }
   }
 
-  /** Applies a change to the record. On failure reports it and returns the last known record. */
+  /**
+   * Changes the record and delivers what the other processes have stored in it. On failure reports it and returns the
+   * last known record.
+   */
   private UpgradeRecord updateRecord(UnaryOperator<UpgradeRecord> change) {
+    UpgradeRecord current;
     try {
-      return file.update(record -> change.apply(withoutDeadMembers(record)));
+      current = file.update(record -> change.apply(withoutDeadMembers(record)));
     } catch (IOException failure) {
       reportFailure(String.valueOf(failure.getMessage()));
-      return file.read();
+      current = file.read();
     }
+    deliverSuspensions(current);
+    return current;
+  }
+
+  private void deliverSuspensions(UpgradeRecord current) {
+    applied.takeSuspensions(current).ifPresent(due -> listener.onSuspensionsChanged(due, () -> { }));
   }
 
   private UpgradeRecord withoutDeadMembers(UpgradeRecord record) {
--- /dev/null
+++ b/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
@@ -0,0 +1,116 @@
+package amberhoist.upgrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What one process stores in the upgrade record while another one is between a look at it and an update of its own. */
+@Timeout(60)
+class UpgradeCoordinatorTest {
+  private static final int HELD_DESCRIPTORS = 40;
+
+  @TempDir
+  Path folder;
+
+  private final List<Process> processes = new ArrayList<>();
+
+  /** A process of the proxy whose coordinator can be held up within a poll, after it has read the record. */
+  private final class Process implements UpgradeCoordinator.Listener {
+    final List<Set<String>> suspensions = new ArrayList<>();
+    final Semaphore pollsHeld = new Semaphore(0);
+    final Semaphore pollsAllowed = new Semaphore(0);
+    final UpgradeCoordinator coordinator;
+    volatile boolean holdsPolls;
+
+    Process() {
+      coordinator = new UpgradeCoordinator(folder, this, failure -> { });
+      coordinator.setHeldDescriptors(HELD_DESCRIPTORS);
+      coordinator.join();
+      processes.add(this);
+    }
+
+    /** Waits until the next poll has read the record, and holds it there. */
+    void holdPoll() {
+      holdsPolls = true;
+      pollsHeld.acquireUninterruptibly();
+    }
+
+    /** Lets the held poll go on, and waits until the next one has read the record and delivered its changes. */
+    void passPoll() {
+      pollsAllowed.release();
+      pollsHeld.acquireUninterruptibly();
+    }
+
+    void releasePolls() {
+      holdsPolls = false;
+      pollsAllowed.release();
+    }
+
+    synchronized Set<String> lastSuspensions() {
+      return suspensions.get(suspensions.size() - 1);
+    }
+
+    @Override
+    public synchronized void onSuspensionsChanged(Set<String> providers, Runnable onApplied) {
+      suspensions.add(providers);
+      onApplied.run();
+    }
+
+    @Override
+    public void onBindingsChanged(Map<String, String> bindings) {}
+
+    @Override
+    public void onOtherDescriptors(int otherDescriptors) {
+      if (holdsPolls) { // comes late in each poll while there is another process
+        pollsHeld.release();
+        pollsAllowed.acquireUninterruptibly();
+      }
+    }
+  }
+
+  @AfterEach
+  void closeAll() {
+    processes.forEach(Process::releasePolls);
+    processes.forEach(process -> process.coordinator.close());
+  }
+
+  /** Guards against a suspension that is lost because the mark of readiness is stored right after it. */
+  @Test
+  void readyMarkDeliversASuspensionThatAnotherProcessHasJustStored() {
+    Process serving = new Process();
+    Process starting = new Process();
+    starting.holdPoll();
+    assertTrue(serving.coordinator.setSuspended("p0", true).join());
+    CompletableFuture<Void> ready = starting.coordinator.markReady();
+    starting.releasePolls();
+    ready.join();
+    assertEquals(Set.of("p0"), starting.lastSuspensions());
+  }
+
+  /** Guards against a suspension that is lost because a new number of descriptors is stored right after it. */
+  @Test
+  void descriptorUpdateDeliversASuspensionThatAnotherProcessHasJustStored() {
+    Process serving = new Process();
+    Process other = new Process();
+    other.holdPoll();
+    assertTrue(serving.coordinator.setSuspended("p0", true).join());
+    other.coordinator.setHeldDescriptors(2 * HELD_DESCRIPTORS);
+    other.passPoll();
+    assertEquals(Set.of("p0"), other.lastSuspensions());
+    assertTrue(serving.coordinator.setSuspended("p0", false).join());
+    other.coordinator.setHeldDescriptors(HELD_DESCRIPTORS);
+    other.passPoll();
+    assertEquals(Set.of(), other.lastSuspensions(), "the same holds for a resumed provider");
+  }
+}
