Deliver bindings once for each process that stores them, also when they are equal

What callers saw: clients moved by an upgrade were placed as new ones if the upgrade before had moved the same clients from the same providers, or if a suspension was stored at the successor right after the bindings. Found by reading, as the cause of the lost suspension on a related path.

Cause: bindings were delivered when they differed from those of the reading before, and stayed in the record for good.

Change: the process that applies bindings takes them out of the record in the same locked update; those that stand there when it joins were stored for another one and are left alone. Same format, so that older processes go on with it.

--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
@@ -3,6 +3,7 @@
 import amberhoist.upgrade.UpgradeRecord.Member;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
@@ -26,7 +27,10 @@
      */
     void onSuspensionsChanged(Set<String> providers, Runnable onApplied);
 
-    /** Another process moves its clients to this one; the map gives the provider of each client key. */
+    /**
+     * Another process moves its clients to this one; the map gives the provider of each client key. Called once for each
+     * process that moves its clients.
+     */
     void onBindingsChanged(Map<String, String> bindings);
 
     /** The number of descriptors that the other processes hold, 0 if there are none. */
@@ -41,8 +45,7 @@
   private final Listener listener;
   private final Consumer<String> failureListener;
   private final ScheduledThreadPoolExecutor executor;
-  private final AppliedRecord applied = new AppliedRecord();
-  private Map<String, String> lastBindings = Map.of();
+  private final AppliedRecord applied = new AppliedRecord(token);
   private Member self = new Member(token, ProcessHandle.current().pid(), false, 0);
   private int otherDescriptors;
   private volatile int heldDescriptors;
@@ -67,7 +70,7 @@
 
   /** Registers this process before it serves. When this returns, the listener has received all suspensions. */
   public void join() {
-    lastBindings = updateRecord(record -> record.with(self)).bindings();
+    applied.join(updateRecord(record -> record.with(self)));
     poll();
     executor.scheduleWithFixedDelay(this::poll, POLL_PERIOD_MILLIS, POLL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -94,7 +97,7 @@
     executor.execute(() -> {
       try {
         UpgradeRecord stored = file.update(record -> withoutDeadMembers(record.with(provider, suspended)).with(self));
-        applied.takeSuspensions(stored);
+        applied.observe(stored); // delivered below, with what is to be run once it has taken effect
         listener.onSuspensionsChanged(stored.suspended(), () -> result.complete(true));
       } catch (IOException | RuntimeException failure) {
         reportFailure(String.valueOf(failure.getMessage()));
@@ -117,12 +120,10 @@
   private void poll() {
     try {
       UpgradeRecord current = file.read();
-      deliverSuspensions(current);
-      // Only the process that started last receives the bindings: clients are moved to it.
-      if (!current.bindings().equals(lastBindings) && !current.hasSuccessor(token)) {
-        listener.onBindingsChanged(current.bindings());
+      observe(current);
+      if (self.ready() && applied.areBindingsDue(current)) {
+        takeBindings();
       }
-      lastBindings = current.bindings();
       int others = withoutDeadMembers(current).members().stream().filter(member -> !member.token().equals(token))
           .mapToInt(Member::descriptors).sum();
       if (others != otherDescriptors || others > 0) {
@@ -138,6 +139,21 @@
     }
   }
 
+  /** Takes the bindings out of the record and delivers them, so that each store of bindings is delivered once. */
+  private void takeBindings() {
+    Map<String, String> taken = new HashMap<>();
+    updateRecord(record -> {
+      if (!applied.areBindingsDue(record)) {
+        return record;
+      }
+      taken.putAll(record.bindings());
+      return record.withBindings(Map.of());
+    });
+    if (!taken.isEmpty()) {
+      listener.onBindingsChanged(taken);
+    }
+  }
+
   /**
    * Changes the record and delivers what the other processes have stored in it. On failure reports it and returns the
    * last known record.
@@ -150,12 +166,13 @@
       reportFailure(String.valueOf(failure.getMessage()));
       current = file.read();
     }
-    deliverSuspensions(current);
+    observe(current);
     return current;
   }
 
-  private void deliverSuspensions(UpgradeRecord current) {
-    applied.takeSuspensions(current).ifPresent(due -> listener.onSuspensionsChanged(due, () -> { }));
+  /** Delivers the suspensions of a record, from whichever read or update it comes. */
+  private void observe(UpgradeRecord current) {
+    applied.observe(current).ifPresent(due -> listener.onSuspensionsChanged(due, () -> { }));
   }
 
   private UpgradeRecord withoutDeadMembers(UpgradeRecord record) {
--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeRecord.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeRecord.java
@@ -12,7 +12,8 @@
  *
  * @param suspended the names of the suspended providers
  * @param members the processes, in the order in which they started
- * @param bindings the providers of the clients that the process that stopped last has moved away, by client key
+ * @param bindings the providers of the clients that the process that stopped last has moved away, by client key, until
+ *     the process that they are moved to takes them
  */
 public record UpgradeRecord(Set<String> suspended, List<Member> members, Map<String, String> bindings) {
   /** A record without content. */
--- a/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
+++ b/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
@@ -28,6 +28,7 @@
   /** A process of the proxy whose coordinator can be held up within a poll, after it has read the record. */
   private final class Process implements UpgradeCoordinator.Listener {
     final List<Set<String>> suspensions = new ArrayList<>();
+    final List<Map<String, String>> bindings = new ArrayList<>();
     final Semaphore pollsHeld = new Semaphore(0);
     final Semaphore pollsAllowed = new Semaphore(0);
     final UpgradeCoordinator coordinator;
@@ -61,6 +62,10 @@
       return suspensions.get(suspensions.size() - 1);
     }
 
+    synchronized List<Map<String, String>> bindings() {
+      return List.copyOf(bindings);
+    }
+
     @Override
     public synchronized void onSuspensionsChanged(Set<String> providers, Runnable onApplied) {
       suspensions.add(providers);
@@ -68,7 +73,9 @@
     }
 
     @Override
-    public void onBindingsChanged(Map<String, String> bindings) {}
+    public synchronized void onBindingsChanged(Map<String, String> providerByClient) {
+      bindings.add(providerByClient);
+    }
 
     @Override
     public void onOtherDescriptors(int otherDescriptors) {
@@ -113,4 +120,63 @@
     other.passPoll();
     assertEquals(Set.of(), other.lastSuspensions(), "the same holds for a resumed provider");
   }
+
+  /** Guards against affinity that is lost when two upgrades in a row move the same clients from the same providers. */
+  @Test
+  void equalBindingsOfTwoUpgradesAreDeliveredOnceToEachSuccessor() {
+    Map<String, String> bindings = Map.of("k1", "p0", "k2", "p1");
+    Process first = new Process();
+    Process second = new Process();
+    second.coordinator.markReady().join();
+    second.holdPoll();
+    first.coordinator.storeBindings(bindings);
+    second.passPoll(); // may have read the record before the store
+    second.passPoll();
+    assertEquals(List.of(bindings), second.bindings());
+    Process third = new Process();
+    third.coordinator.markReady().join();
+    third.holdPoll();
+    second.releasePolls();
+    second.coordinator.storeBindings(bindings);
+    third.passPoll();
+    third.passPoll();
+    assertEquals(List.of(bindings), third.bindings());
+    assertEquals(List.of(bindings), second.bindings(), "a process does not take what it stored itself");
+    assertEquals(List.of(), first.bindings());
+  }
+
+  /** Guards against bindings that are lost because a suspension is stored at the successor right after them. */
+  @Test
+  void suspensionAtTheSuccessorKeepsBindingsThatWereJustStored() {
+    Map<String, String> bindings = Map.of("k1", "p0");
+    Process old = new Process();
+    Process successor = new Process();
+    successor.coordinator.markReady().join();
+    successor.holdPoll();
+    old.coordinator.storeBindings(bindings);
+    CompletableFuture<Boolean> suspended = successor.coordinator.setSuspended("p1", true);
+    successor.releasePolls();
+    assertTrue(suspended.join());
+    successor.holdPoll();
+    successor.passPoll();
+    assertEquals(List.of(bindings), successor.bindings());
+    assertEquals(Set.of("p1"), successor.lastSuspensions());
+  }
+
+  /** Guards against bindings of an earlier upgrade that hide those of the upgrade at hand. */
+  @Test
+  void bindingsStoredBeforeAProcessJoinedAreNotDelivered() {
+    Map<String, String> current = Map.of("k1", "p1");
+    Process old = new Process();
+    old.coordinator.storeBindings(Map.of("k1", "p0")); // nobody takes them
+    Process successor = new Process();
+    successor.coordinator.markReady().join();
+    successor.holdPoll();
+    successor.passPoll();
+    assertEquals(List.of(), successor.bindings());
+    old.coordinator.storeBindings(current);
+    successor.passPoll();
+    successor.passPoll();
+    assertEquals(List.of(current), successor.bindings());
+  }
 }
