Store a process's entry in the upgrade record again if storing it failed

What callers would see: where the record is locked for over 0.2 s as a new version gets ready, the old one knows of no successor, stops as for a plain restart and moves its clients late, without bindings. Found by reading.

Cause: the entry counted as stored when it was changed, whether the update succeeded or not.

Change: each look compares the entry in the record with what it should be. The test holds the lock; before, it ended with "expected true but was false".

--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
@@ -28,8 +28,8 @@
     void onSuspensionsChanged(Set<String> providers, Runnable onApplied);
 
     /**
-     * Another process moves its clients to this one; the map gives the provider of each client key. Called once for each
-     * process that moves its clients.
+     * Another process moves its clients to this one; the map gives the provider of each client key. Called once for
+     * each process that moves its clients.
      */
     void onBindingsChanged(Map<String, String> bindings);
 
@@ -130,8 +130,10 @@
         otherDescriptors = others;
         listener.onOtherDescriptors(others);
       }
-      if (heldDescriptors != self.descriptors() && (others > 0 || self.descriptors() == 0)) {
+      if (others > 0 || self.descriptors() == 0) {
         self = new Member(token, self.pid(), self.ready(), heldDescriptors);
+      }
+      if (!current.members().contains(self)) { // changed, or not stored when it changed
         updateRecord(record -> record.with(self));
       }
     } catch (RuntimeException failure) {
--- a/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
+++ b/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
@@ -1,9 +1,12 @@
 package amberhoist.upgrade;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.channels.FileChannel;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -179,4 +182,20 @@
     successor.passPoll();
     assertEquals(List.of(current), successor.bindings());
   }
+
+  /** Guards against a successor that the old process never learns of: the record was locked when it got ready. */
+  @Test
+  void readyMarkThatCouldNotBeStoredIsStoredLater() throws Exception {
+    Process old = new Process();
+    Process successor = new Process();
+    try (FileChannel lockFile = FileChannel.open(folder.resolve("amberhoist.handover.lock"),
+        StandardOpenOption.WRITE)) {
+      lockFile.lock();
+      successor.coordinator.markReady().join();
+      assertFalse(old.coordinator.hasSuccessor());
+    }
+    successor.holdPoll();
+    successor.passPoll();
+    assertTrue(old.coordinator.hasSuccessor());
+  }
 }
