Read the upgrade record again for a second after each write of it

What callers would see: a suspension that the other process never learns of, until the next change. Found by reading, as the cause of the lost suspension once more: whether to read the record was decided by comparing two looks at the file.

Cause: time, size and key of the file may be the same after three writes within one tick of the file system's clock (4 ms here), since a replaced file's inode is free for the next.

Change: what was read within a second of the last write is read again. A record is a few hundred bytes, read ten times a second at most. The test sets the file's time itself; before, it ended with "expected [y] but was [x]".

--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeRecordFile.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeRecordFile.java
@@ -10,7 +10,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.BasicFileAttributes;
-import java.util.List;
+import java.nio.file.attribute.FileTime;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -21,11 +21,16 @@
   private static final int MAX_LOCK_ATTEMPTS = 40; // the lock is held while a few hundred bytes are written
   private static final long LOCK_RETRY_NANOS = 5_000_000;
 
+  /** For this long after a write another one may leave time, size and key as they are: file times have coarse ticks. */
+  private static final long AMBIGUOUS_MILLIS = 1_000;
+
+  private record FileState(FileTime modifiedAt, long size, String key) {}
+
   private final Path file;
   private final Path newFile;
   private final Path lockFile;
   private final Consumer<String> unreadableListener;
-  private Object lastFileState; // to detect changes: time, size and key of the file when it was last read
+  private FileState lastFileState; // when it was last read; null if a change might have left it as it was
   private UpgradeRecord lastRecord = UpgradeRecord.EMPTY;
 
   /**
@@ -47,9 +52,9 @@
    */
   UpgradeRecord read() {
     try {
-      Object state = fileState();
+      FileState state = fileState();
       if (!state.equals(lastFileState)) {
-        lastFileState = state;
+        lastFileState = unambiguous(state);
         lastRecord = UpgradeRecordCodec.decode(Files.readAllBytes(file));
       }
     } catch (NoSuchFileException missing) {
@@ -60,9 +65,13 @@
     return lastRecord;
   }
 
-  private Object fileState() throws IOException {
+  private FileState fileState() throws IOException {
     BasicFileAttributes attributes = Files.readAttributes(file, BasicFileAttributes.class);
-    return List.of(attributes.lastModifiedTime(), attributes.size(), String.valueOf(attributes.fileKey()));
+    return new FileState(attributes.lastModifiedTime(), attributes.size(), String.valueOf(attributes.fileKey()));
+  }
+
+  private static FileState unambiguous(FileState state) {
+    return state.modifiedAt().toMillis() < System.currentTimeMillis() - AMBIGUOUS_MILLIS ? state : null;
   }
 
   /**
@@ -87,7 +96,7 @@
       Files.write(newFile, UpgradeRecordCodec.encode(after));
       Files.move(newFile, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
       lastRecord = after;
-      lastFileState = fileState();
+      lastFileState = null;
       return after;
     }
   }
--- a/proxy/src/test/java/amberhoist/upgrade/UpgradeRecordTest.java
+++ b/proxy/src/test/java/amberhoist/upgrade/UpgradeRecordTest.java
@@ -11,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -107,6 +109,19 @@
     assertEquals(Set.of("x"), file.update(record -> record.with("x", true)).suspended());
   }
 
+  /** Guards against a change that leaves the file's time, size and key as they were, within one tick of file times. */
+  @Test
+  void readsAChangeThatLeavesTimeSizeAndKeyOfTheFile() throws Exception {
+    UpgradeRecordFile file = file();
+    Files.write(recordPath(), UpgradeRecordCodec.encode(UpgradeRecord.EMPTY.with("x", true)));
+    FileTime time = FileTime.from(Instant.now().plusSeconds(60)); // recent, however long this test is held up
+    Files.setLastModifiedTime(recordPath(), time);
+    assertEquals(Set.of("x"), file.read().suspended());
+    Files.write(recordPath(), UpgradeRecordCodec.encode(UpgradeRecord.EMPTY.with("y", true)));
+    Files.setLastModifiedTime(recordPath(), time);
+    assertEquals(Set.of("y"), file.read().suspended());
+  }
+
   @Test
   void missingFolderFailsOnlyUpdates() {
     UpgradeRecordFile file = new UpgradeRecordFile(folder.resolve("nowhere"), problems::add);
