Keep a directory watch until a newer one has sent an update, over any number of reloads

Cause: DirectoryWatch closed its one watch on each change of the address, also one that was sending updates or whose answer was under way, and started over. While configurations come faster than answers, nothing is heard.

Evidence: with directory.answered logged, the drain stands in the answers of the first and second new address, and the proxy hears the third one only, 7.3 s after the drain.

Change: WatchSuccession (no I/O, no clock) decides which watches stay: one is closed at the first update of a newer one. At most three are open; the one that waits longest is never given up for a newer one, so that whatever the directory does answer is heard. directory.moved, listed but never logged, tells when a new address takes over.

Tests: quickReloadsKeepTheWatchThatIsAnsweredFirst and oldWatchIsHeardUntilTheNewAddressAnswers failed before ("Broken pipe", "too few: DIRECTORY_NEWS").

--- a/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
@@ -7,6 +7,7 @@
 import amberhoist.directory.DirectoryUpdate;
 import amberhoist.directory.ProviderRegistry;
 import amberhoist.directory.WatchParser;
+import amberhoist.directory.WatchSuccession;
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
 import java.io.IOException;
@@ -22,7 +23,8 @@
 
 /**
  * Watches the directory for changes. When a watch cannot be established, breaks or becomes silent, another one starts
- * after a pause that grows with each failure, but stays far below the time for which the list may go unrefreshed.
+ * after a pause that grows with each failure, but stays far below the time for which the list may go unrefreshed. When
+ * the address changes, {@link WatchSuccession} says how long earlier watches are kept.
  */
 public final class DirectoryWatch {
   private static final int BUFFER_BYTES = 16_384;
@@ -33,14 +35,21 @@
     final WatchParser parser = new WatchParser();
     final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
     final InetSocketAddress address;
+    final ByteBuffer request;
     final long startedAt; // microseconds
-    ByteBuffer request;
+    long id;
+    long index; // of the latest update, or the one that was asked from
     boolean answered; // at least one update has come
+    Timer silenceTimer;
 
-    Watch(AsynchronousSocketChannel channel, InetSocketAddress address, long startedAt) {
+    Watch(AsynchronousSocketChannel channel, InetSocketAddress address, long index) {
       this.channel = channel;
       this.address = address;
-      this.startedAt = startedAt;
+      this.index = index;
+      startedAt = loop.now();
+      String host = address.getAddress().getHostAddress() + ':' + address.getPort();
+      request = ByteBuffer.wrap(("GET /v1/servers?follow=1&since=" + index + " HTTP/1.1\r\nHost: " + host
+          + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
     }
   }
 
@@ -49,6 +58,9 @@
     /** The directory at this address has sent the first update of a watch, this long after the watch started. */
     void onWatchAnswered(InetSocketAddress address, long index, long millis);
 
+    /** A directory at another address than before has taken over. */
+    void onMoved(InetSocketAddress newAddress);
+
     /** A watch has failed; the next one starts after the given pause in milliseconds. */
     void onWatchFailed(String reason, long pauseMillis);
 
@@ -64,15 +76,16 @@
   private final Core core;
   private final ProviderRegistry registry;
   private final Counters counters;
-  private InetSocketAddress address;
   private final Random random;
-  private final SlotTable<Watch> watches = new SlotTable<>();
-  private long currentId = SlotTable.NONE;
-  private long index;
   private final Listener listener;
+  private final SlotTable<Watch> watches = new SlotTable<>();
+  private final WatchSuccession succession = new WatchSuccession();
+  private InetSocketAddress address;
+  private InetSocketAddress lastAnsweredAddress; // by which the list is known, the first one until another has answered
+  private long index; // of the latest update from the current address; 0 asks for the whole list
   private WatchTiming timing;
   private long pauseMicros;
-  private Timer timer;
+  private Timer pauseTimer;
   private boolean closed;
 
   private final CompletionHandler<Void, Long> connectHandler = completion((watch, none) -> writeOrRead(watch));
@@ -90,6 +103,7 @@
     pauseMicros = timing.initialPauseMicros();
     this.counters = counters;
     this.address = address;
+    lastAnsweredAddress = address;
     this.index = index;
     random = new Random(seed);
   }
@@ -105,21 +119,21 @@
               completion.complete(watch, result);
             }
           } catch (IOException fault) {
-            onBroken(watchId, fault.getMessage());
+            onBroken(watch, fault.getMessage());
           }
         });
       }
 
       @Override
       public void failed(Throwable fault, Long watchId) {
-        loop.run(() -> onBroken(watchId, fault.toString()));
+        loop.run(() -> onBroken(watches.get(watchId), fault.toString()));
       }
     };
   }
 
   /** Starts a watch unless one is running or scheduled. */
   public void ensureWatching() {
-    if (currentId == SlotTable.NONE && timer == null && !closed) {
+    if (!succession.isWatching() && pauseTimer == null && !closed) {
       start();
     }
   }
@@ -130,8 +144,9 @@
   }
 
   /**
-   * Switches immediately to a directory at another address. The current list remains valid until the new directory
-   * replaces it; the whole list is requested, since the new directory may number its versions differently.
+   * Starts a watch on a directory at another address at once. The current list remains valid until the new directory
+   * replaces it, and earlier watches go on until then; the whole list is requested, since the new directory may number
+   * its versions differently.
    */
   public void changeAddress(InetSocketAddress newAddress) {
     if (newAddress.equals(address) || closed) {
@@ -140,43 +155,45 @@
     address = newAddress;
     index = 0;
     pauseMicros = timing.initialPauseMicros(); // the back-off caused by the old address must not delay the new one
-    if (timer != null) {
-      timer.cancel();
-      timer = null;
-    }
-    discard(currentId); // late completions of the old watch are ignored
-    currentId = SlotTable.NONE;
+    cancelPause();
     start();
   }
 
   private void start() {
     counters.increment(Count.DIRECTORY_WATCHES);
     try {
-      Watch watch = new Watch(AsynchronousSocketChannel.open(loop.channelGroup()), address, loop.now());
-      long watchId = watches.add(watch);
-      currentId = watchId;
-      String host = address.getAddress().getHostAddress() + ':' + address.getPort();
-      watch.request = ByteBuffer.wrap(("GET /v1/servers?follow=1&since=" + index + " HTTP/1.1\r\nHost: " + host
-          + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-      armSilenceTimer(timing.firstLineTimeoutMicros(), watchId);
-      watch.channel.connect(address, watchId, connectHandler);
+      Watch watch = new Watch(AsynchronousSocketChannel.open(loop.channelGroup()), address, index);
+      watch.id = watches.add(watch);
+      succession.onOpened(watch.id).forEach(this::discard);
+      armSilenceTimer(watch, timing.firstLineTimeoutMicros());
+      watch.channel.connect(address, watch.id, connectHandler);
     } catch (IOException fault) {
       scheduleNext(fault.toString());
     }
   }
 
-  private void armSilenceTimer(long micros, long watchId) {
+  private void armSilenceTimer(Watch watch, long micros) {
+    cancel(watch.silenceTimer);
+    watch.silenceTimer = loop.timerWheel().arm(loop.now() + micros,
+        now -> onBroken(watch, "no complete line within the timeout"));
+  }
+
+  private static void cancel(Timer timer) {
     if (timer != null) {
       timer.cancel();
     }
-    timer = loop.timerWheel().arm(loop.now() + micros, now -> onBroken(watchId, "no complete line within the timeout"));
+  }
+
+  private void cancelPause() {
+    cancel(pauseTimer);
+    pauseTimer = null;
   }
 
   private void writeOrRead(Watch watch) {
     if (watch.request.hasRemaining()) {
-      watch.channel.write(watch.request, currentId, writeHandler);
+      watch.channel.write(watch.request, watch.id, writeHandler);
     } else {
-      watch.channel.read(watch.buffer, currentId, readHandler);
+      watch.channel.read(watch.buffer, watch.id, readHandler);
     }
   }
 
@@ -184,7 +201,6 @@
     if (bytes < 0) {
       throw new IOException("connection closed by the directory");
     }
-    long watchId = currentId;
     watch.buffer.flip();
     List<byte[]> lines = new ArrayList<>();
     try {
@@ -195,34 +211,33 @@
       }
     }
     if (!lines.isEmpty()) { // only complete lines extend the timeout: a line might never end
-      armSilenceTimer(timing.silenceTimeoutMicros(), watchId);
+      armSilenceTimer(watch, timing.silenceTimeoutMicros());
     }
     watch.buffer.clear();
     if (watch.parser.isEnded()) {
       throw new IOException("response ended");
     }
-    if (currentId == watchId) {
-      watch.channel.read(watch.buffer, watchId, readHandler);
+    if (watches.get(watch.id) == watch) {
+      watch.channel.read(watch.buffer, watch.id, readHandler);
     }
   }
 
   private void onLine(Watch watch, byte[] line) throws IOException {
     if (line.length == 0) {
-      pauseMicros = timing.initialPauseMicros();
+      onSound(watch);
       return;
     }
     DirectoryUpdate update = DirectoryUpdate.parse(line, loop.clock());
-    if (!update.snapshot() && update.index() < index) {
-      index = 0; // the next watch requests the whole list, so that old changes undo no newer ones
+    if (!update.snapshot() && update.index() < watch.index) {
+      setIndex(watch, 0); // the next watch requests the whole list, so that old changes undo no newer ones
       throw new IOException("index is lower than that of the previous update");
     }
-    pauseMicros = timing.initialPauseMicros();
-    counters.increment(Count.DIRECTORY_NEWS);
-    index = update.index();
+    onSound(watch);
+    setIndex(watch, update.index());
     if (!watch.answered) {
-      watch.answered = true;
-      listener.onWatchAnswered(watch.address, index, (loop.now() - watch.startedAt) / 1000);
+      onFirstUpdate(watch);
     }
+    counters.increment(Count.DIRECTORY_NEWS);
     if (!update.unreadable().isEmpty()) {
       counters.increment(Count.DIRECTORY_UNREAD);
       listener.onUnreadableEntries(update.unreadable());
@@ -231,37 +246,64 @@
         registry.update(update));
   }
 
-  private void onBroken(long watchId, String reason) {
-    if (discard(watchId) && !closed) {
+  /** A valid line has come: the next failure at the current address is the first one again. */
+  private void onSound(Watch watch) {
+    if (succession.isNewest(watch.id)) {
+      pauseMicros = timing.initialPauseMicros();
+    }
+  }
+
+  private void setIndex(Watch watch, long newIndex) {
+    watch.index = newIndex;
+    if (succession.isNewest(watch.id)) {
+      index = newIndex;
+    }
+  }
+
+  private void onFirstUpdate(Watch watch) {
+    watch.answered = true;
+    succession.onUpdate(watch.id).forEach(this::discard);
+    listener.onWatchAnswered(watch.address, watch.index, (loop.now() - watch.startedAt) / 1000);
+    if (!watch.address.equals(lastAnsweredAddress)) {
+      lastAnsweredAddress = watch.address;
+      listener.onMoved(watch.address);
+    }
+  }
+
+  /** A watch has failed or was closed by the directory; null if it is no longer in use. */
+  private void onBroken(Watch watch, String reason) {
+    if (watch == null || closed || !discard(watch.id)) {
+      return;
+    }
+    if (succession.onEnded(watch.id)) {
       scheduleNext(reason);
     }
   }
 
-  /** Closes a watch; returns whether it was still in use. */
+  /** Closes a watch, whose late completions are ignored; returns whether it was still in use. */
   private boolean discard(long watchId) {
     Watch watch = watches.remove(watchId);
-    if (watch != null) {
-      try {
-        watch.channel.close();
-      } catch (IOException fault) {
-        // the watch is no longer used either way
-      }
+    if (watch == null) {
+      return false;
     }
-    return watch != null;
+    cancel(watch.silenceTimer);
+    try {
+      watch.channel.close();
+    } catch (IOException fault) {
+      // the watch is no longer used either way
+    }
+    return true;
   }
 
   /** Notifies the listener and the balancer, and schedules the next watch; the current list remains valid. */
   private void scheduleNext(String reason) {
-    currentId = SlotTable.NONE;
     counters.increment(Count.DIRECTORY_FAILURES);
     long delayMicros = pauseMicros + (long) (random.nextDouble() * pauseMicros);
     pauseMicros = Math.min(2 * pauseMicros, timing.maxPauseMicros());
     listener.onWatchFailed(reason, delayMicros / 1000);
-    if (timer != null) {
-      timer.cancel();
-    }
-    timer = loop.timerWheel().arm(loop.now() + delayMicros, now -> {
-      timer = null;
+    cancelPause();
+    pauseTimer = loop.timerWheel().arm(loop.now() + delayMicros, now -> {
+      pauseTimer = null;
       start();
     });
     core.onDirectoryUpdate(loop.now(), ListUpdateKind.FAILED, List.of());
@@ -270,9 +312,7 @@
   /** Stops watching permanently. */
   public void close() {
     closed = true;
-    if (timer != null) {
-      timer.cancel();
-    }
-    discard(currentId);
+    cancelPause();
+    succession.openWatches().forEach(this::discard);
   }
 }
--- a/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
+++ b/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
@@ -48,6 +48,11 @@
           index, "after_ms", millis);
     }
 
+    @Override
+    public void onMoved(InetSocketAddress newAddress) {
+      log.log(Event.DIRECTORY_MOVED, "the list now comes from the directory at " + newAddress, "address", newAddress);
+    }
+
     @Override
     public void onWatchFailed(String why, long pauseMillis) {
       log.log(Event.DIRECTORY_FAILED, "the directory watch failed", "why", why, "pause_ms", pauseMillis);
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -49,7 +49,7 @@
 public final class Service {
   private static final long CLOSE_DELAY_MICROS = 300_000; // for idle and late clients, and the last FINs
   private static final long SUPPRESSED_PERIOD_MICROS = 10_000_000; // between log.suppressed events
-  private static final int OWN_DESCRIPTORS = 24; // 12 of the JVM and its channel group, two directory watches, a file
+  private static final int OWN_DESCRIPTORS = 24; // 12 of the JVM and its channel group, three directory watches, a file
   private static final int MIN_DESCRIPTORS = 18;
 
   private final EventLoop loop;
--- a/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
@@ -74,12 +74,12 @@
       peers.reloadPlatformConfig(peers.platformConfig(other));
       Peer watch = peers.acceptWatch(other, query);
       assertTrue("indexes of the old directory do not apply: " + query[0], query[0].contains("&since=0 "));
-      assertEquals("FIN", old.readLine());
       peers.connectClient(openRequest("b", 2000, ""));
       assertTrue("the list stays in use", peers.acceptAtProvider(0).readLine().contains("b"));
       watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
       watch.send(httpChunk(peers.providerListJson(2, true, "leaving")));
       awaitCount(peers, Count.DIRECTORY_NEWS, 2);
+      assertEquals("closed once the new directory has answered", "FIN", old.readLine());
       assertTrue(peers.connectClient(openRequest("c", 300, "")).readLine().startsWith("BUSY"));
       established[0].send("M 1\r\n");
       assertEquals("M 1", established[1].readLine());
@@ -88,6 +88,58 @@
     }
   }
 
+  /** Guards against a drain that is never heard because each reload gives up the watch of the one before. */
+  @Test
+  public void quickReloadsKeepTheWatchThatIsAnsweredFirst() throws Exception {
+    try (StubPeers peers = new StubPeers(1); ServerSocket second = StubPeers.listen();
+        ServerSocket third = StubPeers.listen(); ServerSocket fourth = StubPeers.listen()) {
+      Peer first = peers.acceptWatchAndSend(peers.providerListJson(9, true));
+      awaitCount(peers, Count.DIRECTORY_NEWS, 1);
+      peers.reloadPlatformConfig(peers.platformConfig(second));
+      Peer slow = peers.acceptWatch(second, new String[1]);
+      first.socket.close(); // a directory that has moved closes what it still has open
+      peers.reloadPlatformConfig(peers.platformConfig(third));
+      Peer slower = peers.acceptWatch(third, new String[1]);
+      peers.reloadPlatformConfig(peers.platformConfig(fourth));
+      Peer newest = peers.acceptWatch(fourth, new String[1]);
+      assertEquals("one watch between the oldest and the newest is enough", "FIN", slower.readLine());
+      slow.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      slow.send(httpChunk(peers.providerListJson(2, true, "leaving")));
+      awaitCount(peers, Count.DIRECTORY_NEWS, 2);
+      assertTrue(peers.connectClient(openRequest("a", 300, "")).readLine().startsWith("BUSY"));
+      newest.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      newest.send(httpChunk(peers.providerListJson(1, true)));
+      assertEquals("an older address says nothing after a newer one", "FIN", slow.readLine());
+      peers.connectClient(openRequest("b", 2000, ""));
+      assertTrue(peers.acceptAtProvider(0).readLine().contains("b"));
+      assertEquals("what the old addresses close is no failure", 0, peers.service.count(Count.DIRECTORY_FAILURES));
+    }
+  }
+
+  /** Guards against a drain that the directory tells at its old address while the new one has not answered yet. */
+  @Test
+  public void oldWatchIsHeardUntilTheNewAddressAnswers() throws Exception {
+    try (StubPeers peers = new StubPeers(1); ServerSocket other = StubPeers.listen()) {
+      String[] query = new String[1];
+      Peer old = peers.acceptWatchAndSend(peers.providerListJson(9, true));
+      awaitCount(peers, Count.DIRECTORY_NEWS, 1);
+      peers.reloadPlatformConfig(peers.platformConfig(other));
+      peers.acceptWatch(other, query).reset(); // the new address fails first
+      old.send(httpChunk(peers.providerListJson(10, false, "leaving")));
+      awaitCount(peers, Count.DIRECTORY_NEWS, 2);
+      assertTrue(peers.connectClient(openRequest("a", 300, "")).readLine().startsWith("BUSY"));
+      Peer watch = peers.acceptWatch(other, query);
+      assertTrue("indexes of the old directory do not apply: " + query[0], query[0].contains("&since=0 "));
+      watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + httpChunk(""));
+      old.send(httpChunk(peers.providerListJson(11, false, "active")));
+      awaitCount(peers, Count.DIRECTORY_NEWS, 3);
+      watch.send(httpChunk(peers.providerListJson(2, true, "leaving")));
+      awaitCount(peers, Count.DIRECTORY_NEWS, 4);
+      assertEquals("FIN", old.readLine());
+      assertTrue(peers.connectClient(openRequest("b", 300, "")).readLine().startsWith("BUSY"));
+    }
+  }
+
   @Test
   public void reloadSkipsTheBackOffOfTheOldDirectory() throws Exception {
     String pause = "[directory]\npause = \"1m\"\npause_most = \"1m\"\n"; // longer than the timeout of this test
