Accept and reject new clients where a lowered limit is below what stands

Cause: the acceptor waited, without an end, for room that the standing connections alone took. The reserve for rejections is kept only while clients come.

Change: clients are accepted at all times; up to eight are held beyond the limit, out of the descriptors that the process keeps for itself, while they are rejected. makeRoom no longer evicts anybody where that cannot help. limits.exceeded and limits.raised tell the operator.

Test: limitBelowWhatStandsRejectsNewClients failed before ("Read timed out" at the first new client). Open: a reload says nothing of a changed limits.memory_mb.

--- a/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
@@ -163,7 +163,7 @@
     client.attach(request);
     transport.markAsClient(client);
     connectionIds.put(request.id(), client.id());
-    if (!descriptors.makeRoom(0) || descriptors.isNearlyExhausted() && request.establishedProvider() == null) {
+    if (descriptors.isNearlyExhausted() && request.establishedProvider() == null || !descriptors.makeRoom()) {
       counters.increment(Count.CROWDED_OUT);
       counters.setupOutcomes().countRequested(request.type());
       counters.setupOutcomes().countEnded(request.type(), Outcome.REFUSED);
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -14,6 +14,10 @@
   CONFIG_RELOADED(Level.INFO, false, "the configuration was reloaded and has taken effect", "directory"),
   CONFIG_REFUSED(Level.WARN, false, "a new configuration is invalid; the old one stays in effect", "why"),
   CONFIG_RESTART_NEEDED(Level.WARN, false, "changed keys take effect only after a restart", "keys"),
+  LIMITS_EXCEEDED(Level.WARN, false, "a reloaded limit on descriptors is less than what connections hold; they go on,"
+      + " and new clients are rejected until enough have ended", "limit", "held"),
+  LIMITS_RAISED(Level.WARN, false, "the limit on descriptors is less than the proxy itself needs; the least that it can"
+      + " serve with applies", "limit", "least"),
   DIRECTORY_FAILED(Level.WARN, true, "the directory watch failed, was disconnected or timed out", "why", "pause_ms"),
   DIRECTORY_UNREAD(Level.WARN, true, "directory entries were invalid; those providers stay unchanged", "providers"),
   DIRECTORY_ANSWERED(Level.INFO, true, "the directory sent the first update of a watch", "address", "index",
--- a/proxy/src/main/java/amberhoist/net/Acceptor.java
+++ b/proxy/src/main/java/amberhoist/net/Acceptor.java
@@ -20,7 +20,7 @@
   private final Consumer<AsynchronousSocketChannel> front;
   private SocketLimits limits;
   private AsynchronousServerSocketChannel server;
-  private boolean paused; // no accept pending: descriptors ran out or the last accept failed
+  private boolean paused; // no accept pending: the last one failed
   private boolean closing;
 
   private final CompletionHandler<AsynchronousSocketChannel, Void> acceptHandler = new CompletionHandler<>() {
@@ -95,12 +95,11 @@
     if (!server.isOpen()) {
       return;
     }
-    paused = !closing && !descriptorBudget.makeRoom(1);
-    if (!paused) {
-      server.accept(null, acceptHandler);
-    } else {
-      scheduleAccept(); // the client waits in the backlog instead of being cut off
+    paused = false;
+    if (!closing) {
+      descriptorBudget.makeRoomForClient();
     }
+    server.accept(null, acceptHandler);
   }
 
   private void scheduleAccept() {
--- a/proxy/src/main/java/amberhoist/net/DescriptorBudget.java
+++ b/proxy/src/main/java/amberhoist/net/DescriptorBudget.java
@@ -1,7 +1,6 @@
 package amberhoist.net;
 
 import amberhoist.net.Connection.Role;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -14,6 +13,7 @@
  */
 public final class DescriptorBudget {
   private static final int SPARE_DESCRIPTORS = 16;
+  private static final int MIN_REJECTION_DESCRIPTORS = 8; // beyond the limit if need be, out of the process's own
 
   /** Clients that have not sent their open request yet, longest idle first. */
   private final Set<Connection> pendingClients = new LinkedHashSet<>();
@@ -77,18 +77,39 @@
     }
   }
 
-  /** Evicts connections until the given number of further descriptors is available; false if it cannot be reached. */
-  public boolean makeRoom(int additional) {
-    while (held() + additional > maxDescriptors) {
-      Iterator<Connection> oldest = (finishing.isEmpty() ? pendingClients : finishing).iterator();
-      if (!oldest.hasNext()) {
-        return false;
-      }
-      evict.accept(oldest.next());
+  /**
+   * Evicts connections until one more client can be accepted. Where the connections being served leave no room, because
+   * the limit was lowered under them, a few clients at a time are accepted all the same, to be rejected: a client that
+   * is not accepted would get neither an answer nor a close.
+   */
+  void makeRoomForClient() {
+    evictUnserved(Math.max(maxDescriptors - descriptorsServed(), MIN_REJECTION_DESCRIPTORS) - 1);
+  }
+
+  /**
+   * Evicts connections until the others and those being served are within the limit.
+   *
+   * @return false, and none is evicted, if those being served alone exceed it
+   */
+  public boolean makeRoom() {
+    if (isExceeded()) {
+      return false;
     }
+    evictUnserved(maxDescriptors - descriptorsServed());
     return true;
   }
 
+  private void evictUnserved(int maxUnserved) {
+    while (pendingClients.size() + finishing.size() > maxUnserved) {
+      evict.accept((finishing.isEmpty() ? pendingClients : finishing).iterator().next());
+    }
+  }
+
+  /** Whether the connections being served alone need more descriptors than the limit allows. */
+  public boolean isExceeded() {
+    return descriptorsServed() > maxDescriptors;
+  }
+
   /** Whether the connections being served leave too few descriptors to accept and answer further clients. */
   public boolean isNearlyExhausted() {
     return descriptorsServed() + SPARE_DESCRIPTORS > maxDescriptors;
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -49,8 +49,6 @@
 public final class Service {
   private static final long CLOSE_DELAY_MICROS = 300_000; // for idle and late clients, and the last FINs
   private static final long SUPPRESSED_PERIOD_MICROS = 10_000_000; // between log.suppressed events
-  private static final int OWN_DESCRIPTORS = 24; // 12 of the JVM and its channel group, three directory watches, a file
-  private static final int MIN_DESCRIPTORS = 18;
 
   private final EventLoop loop;
   private final EventLog log;
@@ -58,6 +56,7 @@
   private final Latencies latencies = new Latencies();
   private final ProviderRegistry registry = new ProviderRegistry();
   private final DescriptorBudget descriptors = new DescriptorBudget(this::evict);
+  private final DescriptorLimits descriptorLimits;
   private final Transport transport;
   private final LineClientHandler clients;
   private final Acceptor acceptor;
@@ -69,7 +68,6 @@
   private volatile AdminSocket adminSocket;
   private volatile ManagementServer managementServer;
   private volatile UpgradeCoordinator coordinator;
-  private int otherDescriptors; // held by the other processes of this proxy; loop thread only
   private List<String> restartNeeded = List.of(); // loop thread only
   private boolean stopping; // loop thread only
   private InetSocketAddress directoryAddress; // loop thread only
@@ -80,6 +78,7 @@
     PlatformConfig platform = config.platform();
     OperatorConfig operator = config.operator();
     log = new EventLog(platform.name(), operator.logSettings());
+    descriptorLimits = new DescriptorLimits(descriptors, log);
     loop = new EventLoop(fault -> log.logException(Event.LOOP_FAULT, "a task on the loop failed", fault),
         lagMicros -> latencies.record(Span.LOOP_LAG, lagMicros));
     transport = new Transport(loop, descriptors, operator.socketLimits());
@@ -108,14 +107,9 @@
   }
 
   private void applyLimits(ProxyConfig newConfig) {
-    int reserved = OWN_DESCRIPTORS + (newConfig.platform().managementAddress() == null
-        ? 0 : ManagementServer.MAX_DESCRIPTORS);
-    int limit = newConfig.platform().maxDescriptors();
-    limit = otherDescriptors == 0 ? limit // during an upgrade each process may take half of what none holds yet
-        : reserved + descriptors.held() + Math.max(0, limit - otherDescriptors - reserved - descriptors.held()) / 2;
-    descriptors.setLimit(Math.max(MIN_DESCRIPTORS, limit - reserved));
+    int heldDescriptors = descriptorLimits.apply(newConfig.platform());
     if (coordinator != null) {
-      coordinator.setHeldDescriptors(reserved + descriptors.held());
+      coordinator.setHeldDescriptors(heldDescriptors);
     }
     counters.setupOutcomes().addClasses(
         newConfig.platform().settings().requestClasses().stream().map(RequestClass::name).toList());
@@ -152,6 +146,7 @@
           service.acceptor.listen(platform.listenAddress(), platform.managementAddress() != null);
           service.servingSinceMicros = service.loop.now();
           service.logSuppressed();
+          service.descriptorLimits.logShortage(platform);
           listening.complete(null);
         } catch (IOException | RuntimeException fault) {
           listening.completeExceptionally(fault);
@@ -180,10 +175,10 @@
       return;
     }
     coordinator = new UpgradeCoordinator(platform.sharedFolder(), new UpgradeListener(loop, core, log, heldByOthers -> {
-      otherDescriptors = heldByOthers;
+      descriptorLimits.setHeldByOthers(heldByOthers);
       applyLimits(config);
     }), reason -> log.log(Event.UPGRADE_FAILED, "cannot read or store the upgrade record", "why", reason));
-    coordinator.setHeldDescriptors(OWN_DESCRIPTORS + ManagementServer.MAX_DESCRIPTORS);
+    coordinator.setHeldDescriptors(DescriptorLimits.reserved(platform));
     coordinator.join();
   }
 
@@ -262,6 +257,7 @@
     OperatorConfig operator = newConfig.operator();
     config = new ProxyConfig(newConfig.platform(), operator.withRestartKeysOf(old.operator()), newConfig.origins());
     applyLimits(newConfig);
+    descriptorLimits.logShortage(newConfig.platform());
     transport.limits(operator.socketLimits());
     acceptor.limits(operator.socketLimits());
     directoryWatch.timing(operator.watchTiming());
--- a/proxy/src/test/java/amberhoist/service/ReloadScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ReloadScenarioTest.java
@@ -149,6 +149,39 @@
     }
   }
 
+  /** Guards against new clients that are neither answered nor closed once the limit is below what stands. */
+  @Test
+  void limitBelowWhatStandsRejectsNewClients() throws Exception {
+    PrintStream before = System.err;
+    ByteArrayOutputStream log = new ByteArrayOutputStream();
+    try (StubPeers peers = new StubPeers(1, 1024, "")) {
+      List<Peer[]> pairs = new ArrayList<>();
+      for (int i = 0; i < 30; i++) {
+        pairs.add(peers.establish("k" + i, 0));
+      }
+      System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+      peers.reloadOperatorFile("limits.descriptors", "64");
+      awaitCount(peers, Count.RELOADS, 1);
+      System.setErr(before);
+      String text = log.toString(StandardCharsets.UTF_8);
+      assertTrue(text.contains("event=limits.exceeded instance=n0 limit=64"), text);
+      Peer slow = peers.connectClient("OP");
+      for (int i = 0; i < 20; i++) { // none of them closes, and there is not room for as many
+        assertTrue(peers.connectClient(openRequest("new" + i, 2000, "")).readLine().startsWith("BUSY "));
+      }
+      assertTrue(peers.connectClient(openRequest("moved", 9000, ",at=p0")).readLine().startsWith("BUSY "));
+      assertEquals("ERR", slow.send("EN \r\n").readLine(), "a client that is still sending is not cut off");
+      assertEquals(21, peers.service.count(Count.CROWDED_OUT));
+      assertLinesRelayed(pairs, "M 1");
+      peers.reloadOperatorFile("limits.descriptors", "400");
+      awaitCount(peers, Count.RELOADS, 2);
+      peers.connectClient(openRequest("again", 2000, ""));
+      assertTrue(peers.acceptAtProvider(0).readLine().contains("again"));
+    } finally {
+      System.setErr(before);
+    }
+  }
+
   @Test
   @Timeout(60)
   void statusQueryFailsWhenTheProxyStopsMeanwhile() throws Exception {
