Take SIGHUP also where the process was started with it ignored, or say so

Cause: an ignored signal is inherited, and the JVM takes no handler for it, though Signal.handle returns as ever.

Where that is not so, the event config.reload_ignored, the status and the gauge reload_ignored tell the operator.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -31,6 +31,14 @@
 # The optional class-data-sharing archive of the build shortens restarts.
 archive=proxy/target/amberhoist.jsa
 [ -r "$archive" ] && archive_option=-XX:SharedArchiveFile=$archive || archive_option=-Xshare:auto
+# A process inherits an ignored SIGHUP, from nohup for one, and neither this shell nor the JVM can undo that. env can, and
+# goes on as the JVM in the same process.
+hangup=
+if [ -e proxy/target/env-default-signal ] && [ -r /proc/self/status ]; then
+  while read -r field value; do
+    [ "$field" != SigIgn: ] || case $value in *[13579bdf]) hangup='env --default-signal=HUP' ;; esac
+  done </proc/self/status
+fi
 # The platform supports IPv4 only; without preferIPv4Stack the JVM opens dual-stack IPv6 sockets.
-exec java "-Xmx${heap_mb}m" -Xms8m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto "$archive_option" \
+exec $hangup java "-Xmx${heap_mb}m" -Xms8m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto "$archive_option" \
   -XX:-UsePerfData "-XX:MaxDirectMemorySize=${direct_mb}m" -Djava.net.preferIPv4Stack=true -jar proxy/target/amberhoist.jar serve
--- a/proxy/src/main/java/amberhoist/admin/Exposition.java
+++ b/proxy/src/main/java/amberhoist/admin/Exposition.java
@@ -34,6 +34,7 @@
     gauge(registry, "invocations_held", "invocations pending, in an attempt or established", status.invocations());
     gauge(registry, "stopping", "1 while the instance is stopping, else 0", status.state().equals("stopping") ? 1 : 0);
     gauge(registry, "restart_needed_keys", "changed keys that need a restart", status.restartNeeded().size());
+    gauge(registry, "reload_ignored", "1 if SIGHUP was ignored at the start, else 0", status.reloadIgnored() ? 1 : 0);
     GaugeWithCallback.builder().name("amberhoist_standing").help("connections established with a provider")
         .labelNames("provider", "state").callback(out -> status.providers()
             .forEach(provider -> out.call(provider.standing(), provider.name(), provider.state())))
--- a/proxy/src/main/java/amberhoist/admin/Status.java
+++ b/proxy/src/main/java/amberhoist/admin/Status.java
@@ -13,10 +13,12 @@
  * @param counters values by name, without those that are zero
  * @param latencies latencies by the name of the span, in microseconds
  * @param restartNeeded changed keys that need a restart to take effect
+ * @param reloadIgnored whether the process was started with SIGHUP ignored, so that the signal reloads nothing
  */
 public record Status(String name, String version, String state, String listen, String directory, long uptimeMs,
     int connections, int invocations, List<Provider> providers, Map<String, Long> counters,
-    Map<String, Latency> latencies, LogStatus log, List<String> restartNeeded) {
+    Map<String, Latency> latencies, LogStatus log, List<String> restartNeeded,
+    boolean reloadIgnored) {
   /**
    * A provider as last reported by the directory.
    *
--- a/proxy/src/main/java/amberhoist/cli/ServeRunner.java
+++ b/proxy/src/main/java/amberhoist/cli/ServeRunner.java
@@ -4,6 +4,7 @@
 import amberhoist.config.PlatformConfig.InvalidConfigException;
 import amberhoist.config.ProxyConfig;
 import amberhoist.config.ProxyConfig.ConfigSources;
+import amberhoist.log.Event;
 import amberhoist.log.EventLog;
 import amberhoist.net.Signals;
 import amberhoist.service.Service;
@@ -31,8 +32,11 @@
     try {
       ProxyConfig config = ProxyConfig.load(sources, new Clock());
       EventLog.selectBackend(config.operator().log().format());
-      EventLog.redirectStandardError((int) config.operator().log().queue().bytes(),
-          new EventLog(config.platform().name(), config.operator().logSettings()));
+      EventLog log = new EventLog(config.platform().name(), config.operator().logSettings());
+      EventLog.redirectStandardError((int) config.operator().log().queue().bytes(), log);
+      if (Signals.isHangupIgnored()) {
+        log.log(Event.CONFIG_RELOAD_IGNORED, "SIGHUP is ignored since the start and reloads nothing");
+      }
       started.complete(Optional.of(Service.start(config)));
       return;
     } catch (InvalidConfigException fault) {
--- a/proxy/src/main/java/amberhoist/cli/StatusCommand.java
+++ b/proxy/src/main/java/amberhoist/cli/StatusCommand.java
@@ -66,6 +66,9 @@
     if (!status.restartNeeded().isEmpty()) {
       out.append("waiting for a restart: ").append(String.join(", ", status.restartNeeded())).append('\n');
     }
+    if (status.reloadIgnored()) {
+      out.append("started with SIGHUP ignored: that signal reloads nothing\n");
+    }
     out.append(String.format("%n%-20s %-12s %-10s %-22s %8s%n", "provider", "zone", "state", "address", "standing"));
     status.providers().forEach(provider -> out.append(String.format("%-20s %-12s %-10s %-22s %8d%n",
         provider.name(), provider.zone(), provider.state(), provider.address(), provider.standing())));
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -14,6 +14,7 @@
   CONFIG_RELOADED(Level.INFO, false, "the configuration was reloaded and has taken effect", "directory"),
   CONFIG_REFUSED(Level.WARN, false, "a new configuration is invalid; the old one stays in effect", "why"),
   CONFIG_RESTART_NEEDED(Level.WARN, false, "changed keys take effect only after a restart", "keys"),
+  CONFIG_RELOAD_IGNORED(Level.WARN, false, "the process was started with SIGHUP ignored; that signal reloads nothing"),
   LIMITS_EXCEEDED(Level.WARN, false, "a reloaded limit on descriptors is less than what connections hold; they go on,"
       + " and new clients are rejected until enough have ended", "limit", "held"),
   LIMITS_RAISED(Level.WARN, false, "the limit on descriptors is less than the proxy itself needs; the least that it can"
--- a/proxy/src/main/java/amberhoist/service/StatusCollector.java
+++ b/proxy/src/main/java/amberhoist/service/StatusCollector.java
@@ -12,6 +12,7 @@
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
+import amberhoist.net.Signals;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -45,7 +46,8 @@
             histogram.getValueAtPercentile(99), histogram.getMaxValue())));
     return new Status(config.platform().name(), version(), stopping ? "stopping" : "serving", listenAddress(service),
         String.valueOf(directoryAddress), uptimeMillis, connections, core.invocationCount(), providers,
-        counters.nonZero(), spans, new LogStatus(log.suppressedLines(), EventLog.droppedLines()), restartNeeded);
+        counters.nonZero(), spans, new LogStatus(log.suppressedLines(), EventLog.droppedLines()), restartNeeded,
+        Signals.isHangupIgnored());
   }
 
   private static String listenAddress(Service service) {
--- a/proxy/src/test/java/amberhoist/cli/ProcessTest.java
+++ b/proxy/src/test/java/amberhoist/cli/ProcessTest.java
@@ -1,6 +1,7 @@
 package amberhoist.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -112,6 +113,7 @@
     try (BufferedReader log = process.errorReader(StandardCharsets.UTF_8)) {
       JsonNode status = awaitStatus(process);
       assertEquals("serving", status.path("state").asText());
+      assertFalse(status.path("reloadIgnored").asBoolean(true));
       assertEquals(2, status.path("providers").size());
       assertEquals("PONG", firstAnswer(port(status), "PING\r\n"));
       String metrics = AdminClient.get(adminAddress(), "/metrics");
@@ -134,6 +136,25 @@
     }
   }
 
+  /** Guards against a reload that is never heard, without a word: the JVM sets no handler for an ignored SIGHUP. */
+  @Test
+  @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void saysThatItWasStartedWithSighupIgnored() throws Exception {
+    ProcessBuilder builder = command("serve", "--listen", "127.0.0.1:0", "--directory", "127.0.0.1:1", "--set",
+        "admin.listen=unix:" + folder.resolve("admin.sock"));
+    builder.command().addAll(0, List.of("sh", "-c", "trap '' HUP && exec \"$0\" \"$@\""));
+    Process process = builder.start();
+    try (BufferedReader log = process.errorReader(StandardCharsets.UTF_8)) {
+      awaitLine(log, "event=config.reload_ignored");
+      assertTrue(awaitStatus(process).path("reloadIgnored").asBoolean());
+      assertTrue(AdminClient.get(adminAddress(), "/metrics").contains("amberhoist_reload_ignored 1.0"));
+      String text = run("status", "--admin", "unix:" + folder.resolve("admin.sock"))[1];
+      assertTrue(text.contains("started with SIGHUP ignored"), text);
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
   /** Sends a signal. Unlike {@link Process#destroy}, this leaves the streams open. */
   private static void signal(Process process, String name) throws Exception {
     new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
