Take the operators' addresses before the first client is accepted

Cause: Service.start took the addresses of admin socket and management API last.

Change: they are taken first and answer last. A process that has not joined the others does not touch their record.

Tests: takesTheManagementAddressBeforeItListensForClients, takesTheAdminSocketBeforeItListensForClients; both ended with "cannot listen for clients on ..." before.

--- a/proxy/src/main/java/amberhoist/admin/AdminSocket.java
+++ b/proxy/src/main/java/amberhoist/admin/AdminSocket.java
@@ -51,7 +51,7 @@
       task -> daemon(task, "admin-watchdog"));
 
   /**
-   * Starts to listen and to serve requests.
+   * Takes the address; requests wait until {@link #start} is called.
    *
    * @throws IOException if it cannot listen on the address, for example because another process does
    */
@@ -61,10 +61,19 @@
     this.log = log;
     removeStale(address);
     server = ServerSocketChannel.open(AdminAddress.protocolFamily(address));
-    server.bind(address, 16);
+    try {
+      server.bind(address, 16);
+    } catch (IOException fault) {
+      server.close();
+      throw new IOException("cannot listen for status requests on " + address + ": " + fault.getMessage(), fault);
+    }
     this.address = server.getLocalAddress();
+  }
+
+  /** Starts to serve requests. */
+  public void start() {
     daemon(this::serve, "admin").start();
-    log.log(Event.ADMIN_LISTENS, "the admin socket listens", "address", this.address);
+    log.log(Event.ADMIN_LISTENS, "the admin socket listens", "address", address);
   }
 
   /** Deletes a socket file that a killed process left behind, but not one that another process listens on. */
--- a/proxy/src/main/java/amberhoist/mgmt/ManagementServer.java
+++ b/proxy/src/main/java/amberhoist/mgmt/ManagementServer.java
@@ -77,7 +77,7 @@
   };
 
   /**
-   * Starts the server.
+   * Takes the address; callers wait until {@link #start} is called.
    *
    * @param failureListener called on the server's thread when a connection cannot be accepted
    * @throws IOException if it cannot listen on the address
@@ -99,6 +99,10 @@
       group.shutdownNow();
       throw new IOException("cannot listen for management requests on " + listen + ": " + fault.getMessage(), fault);
     }
+  }
+
+  /** Starts to accept and answer requests. */
+  public void start() {
     accept();
   }
 
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -140,6 +140,7 @@
     CompletableFuture<Void> listening = new CompletableFuture<>();
     try {
       coreStarted.get();
+      service.takeOperatorAddresses(); // what can fail comes before the first client, which would be cut off
       service.joinOtherProcesses();
       service.loop.post(() -> {
         try {
@@ -156,8 +157,7 @@
       if (service.coordinator != null) {
         service.coordinator.markReady().join(); // before the process reports that it serves
       }
-      service.startAdminSocket();
-      service.startManagementServer();
+      service.answerOperators();
       InetSocketAddress address = service.address();
       service.log.log(Event.PROXY_SERVES, platform.name() + " serves on " + address, "address", address);
       return service;
@@ -170,7 +170,13 @@
 
   /** Where upgrades are possible, shares suspensions and the descriptor limit with this proxy's other processes. */
   private void joinOtherProcesses() {
-    PlatformConfig platform = config.platform();
+    if (coordinator != null) {
+      coordinator.setHeldDescriptors(DescriptorLimits.reserved(config.platform()));
+      coordinator.join();
+    }
+  }
+
+  private void createCoordinator(PlatformConfig platform) {
     if (platform.managementAddress() == null || platform.sharedFolder() == null) {
       return;
     }
@@ -178,25 +184,31 @@
       descriptorLimits.setHeldByOthers(heldByOthers);
       applyLimits(config);
     }), reason -> log.log(Event.UPGRADE_FAILED, "cannot read or store the upgrade record", "why", reason));
-    coordinator.setHeldDescriptors(DescriptorLimits.reserved(platform));
-    coordinator.join();
   }
 
-  private void startAdminSocket() throws IOException {
+  /** Takes the addresses of the admin socket and of the management API, which answer later. */
+  private void takeOperatorAddresses() throws IOException {
     OperatorConfig.Admin keys = config.operator().admin();
-    SocketAddress address = AdminAddress.parse(keys.listen());
-    if (address != null) {
-      adminSocket = new AdminSocket(address, keys.timeout(), new AdminSource(), log);
+    SocketAddress adminAddress = AdminAddress.parse(keys.listen());
+    if (adminAddress != null) {
+      adminSocket = new AdminSocket(adminAddress, keys.timeout(), new AdminSource(), log);
     }
-  }
-
-  /** Called last, so that the management API answers only once the proxy serves. */
-  private void startManagementServer() throws IOException {
-    InetSocketAddress address = config.platform().managementAddress();
-    if (address != null) {
-      managementServer = new ManagementServer(address,
+    createCoordinator(config.platform());
+    InetSocketAddress managementAddress = config.platform().managementAddress();
+    if (managementAddress != null) {
+      managementServer = new ManagementServer(managementAddress,
           new Routes(new LoopOperations(loop, core, registry, counters, () -> stopping, log, coordinator)),
           fault -> log.log(Event.DOOR_FAILED, "cannot accept a connection", "why", fault));
+    }
+  }
+
+  /** Called last, so that operators get answers only once the proxy serves. */
+  private void answerOperators() throws IOException {
+    if (adminSocket != null) {
+      adminSocket.start();
+    }
+    if (managementServer != null) {
+      managementServer.start();
       log.log(Event.DOOR_LISTENS, "the management API listens", "address", managementServer.address());
     }
   }
--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
@@ -49,6 +49,7 @@
   private Member self = new Member(token, ProcessHandle.current().pid(), false, 0);
   private int otherDescriptors;
   private volatile int heldDescriptors;
+  private volatile boolean joined;
   private String lastFailure = "";
 
   /**
@@ -70,6 +71,7 @@
 
   /** Registers this process before it serves. When this returns, the listener has received all suspensions. */
   public void join() {
+    joined = true;
     applied.join(updateRecord(record -> record.with(self)));
     poll();
     executor.scheduleWithFixedDelay(this::poll, POLL_PERIOD_MILLIS, POLL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
@@ -191,7 +193,9 @@
 
   @Override
   public void close() {
-    executor.execute(() -> updateRecord(record -> record.filterMembers(member -> !member.token().equals(token))));
+    if (joined) {
+      executor.execute(() -> updateRecord(record -> record.filterMembers(member -> !member.token().equals(token))));
+    }
     executor.shutdown();
     try {
       executor.awaitTermination(1, TimeUnit.SECONDS);
--- a/proxy/src/test/java/amberhoist/admin/AdminSocketTest.java
+++ b/proxy/src/test/java/amberhoist/admin/AdminSocketTest.java
@@ -48,6 +48,7 @@
     InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     try (AdminSocket admin = new AdminSocket(address, TIMEOUT, new SlowSource(),
         new EventLog("n0", LogSettings.DEFAULT))) {
+      admin.start();
       assertEquals("the configuration", AdminClient.get(admin.address(), "/config"));
       assertThrows(IOException.class, () -> AdminClient.get(admin.address(), "/nothing"), "a 404 is an error");
     }
--- a/proxy/src/test/java/amberhoist/service/UpgradeScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/UpgradeScenarioTest.java
@@ -1,12 +1,17 @@
 package amberhoist.service;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import amberhoist.clock.Clock;
 import amberhoist.config.PlatformConfig;
+import amberhoist.config.ProxyConfig;
+import amberhoist.config.ProxyConfig.ConfigSources;
 import amberhoist.service.StubPeers.Peer;
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -150,6 +155,38 @@
     }
   }
 
+  /**
+   * Guards against clients that a process accepts and then cuts off because it cannot start. Both addresses are taken
+   * here: the one of the management API must be tried first.
+   */
+  @Test
+  void takesTheManagementAddressBeforeItListensForClients() throws Exception {
+    try (StubPeers peers = new StubPeers(1); ServerSocket taken = StubPeers.listen()) {
+      Path file = folder.resolve("config.json");
+      Files.writeString(file, peers.platformConfig(peers.directory));
+      String address = "127.0.0.1:" + taken.getLocalPort();
+      PlatformConfig config = PlatformConfig.load(Map.of("LB_CONFIG", file.toString(), "LB_LISTEN", address, "LB_MGMT",
+          address, "TMPDIR", folder.toString()), new Clock());
+      IOException refused = assertThrows(IOException.class, () -> Service.start(config));
+      assertTrue(refused.getMessage().startsWith("cannot listen for management requests on"), refused.getMessage());
+      assertFalse(Files.exists(folder.resolve("amberhoist.handover")), "nor has it joined the other processes");
+    }
+  }
+
+  /** The same for the admin socket, which an old process with the same operator's file still has. */
+  @Test
+  void takesTheAdminSocketBeforeItListensForClients() throws Exception {
+    try (StubPeers peers = new StubPeers(1); ServerSocket taken = StubPeers.listen()) {
+      Path file = folder.resolve("config.json");
+      Files.writeString(file, peers.platformConfig(peers.directory));
+      String address = "127.0.0.1:" + taken.getLocalPort();
+      ProxyConfig config = ProxyConfig.load(new ConfigSources(null, Map.of("admin.listen", address),
+          Map.of("LB_CONFIG", file.toString(), "LB_LISTEN", address)), new Clock());
+      IOException refused = assertThrows(IOException.class, () -> Service.start(config));
+      assertTrue(refused.getMessage().startsWith("cannot listen for status requests on"), refused.getMessage());
+    }
+  }
+
   @Test
   void startsAlthoughTheFolderDoesNotExist() throws Exception {
     try (StubPeers peers = new StubPeers(1)) {
