Replace an assertion that could not fail, and drop a constant and a parameter without use

SubscriberTest compared 2 with 2 where no renewal had been sent.

Change: the test now sees that no version is usable and that the next renewal names the prepared version; with the check for a distributor that is behind taken out, it fails. OperatorSimulator.LINE_BYTES and the parameter prefix of Schema.appendSection are gone.

--- a/lab/src/main/java/amberhoist/lab/scale/OperatorSimulator.java
+++ b/lab/src/main/java/amberhoist/lab/scale/OperatorSimulator.java
@@ -12,7 +12,6 @@
   private static final long RETRY_DELAY_MICROS = 300_000;
   private static final long ATTEMPT_TIMEOUT_MICROS = 5_000_000;
   private static final double REPLACEMENT_FRACTION = 0.05; // changes that replace most of the document
-  private static final int LINE_BYTES = 64;
 
   private final VirtualTime time;
   private final RandomSource random;
--- a/proxy/src/main/java/amberhoist/config/schema/Schema.java
+++ b/proxy/src/main/java/amberhoist/config/schema/Schema.java
@@ -281,18 +281,18 @@
   public String toMarkdown() {
     StringBuilder out = new StringBuilder();
     if (keys.keySet().stream().anyMatch(path -> path.indexOf('.') < 0)) {
-      appendSection(out, "", "");
+      appendSection(out, "");
     }
     for (Map.Entry<String, Setting> table : tables.entrySet()) {
       Matcher array = Pattern.compile("(.*)\\.\\*").matcher(table.getKey());
       String header = array.matches() ? "[[" + array.group(1) + "]]" : "[" + table.getKey() + "]";
       out.append("\n## `").append(header).append("`\n\n").append(table.getValue().value()).append('\n');
-      appendSection(out, table.getKey() + '.', table.getKey());
+      appendSection(out, table.getKey());
     }
     return out.toString();
   }
 
-  private void appendSection(StringBuilder out, String prefix, String table) {
+  private void appendSection(StringBuilder out, String table) {
     out.append("\n| key | type | default | from | to | change | effect |\n")
         .append("| --- | --- | --- | --- | --- | --- | --- |\n");
     for (Key key : keys.values()) {
--- a/proxy/src/test/java/amberhoist/distribution/SubscriberTest.java
+++ b/proxy/src/test/java/amberhoist/distribution/SubscriberTest.java
@@ -124,7 +124,11 @@
     installWithLease(FIRST);
     receive(snapshotOffer(SECOND, true));
     receive(new Status(1, 1, false)); // a distributor that does not know the change yet
-    assertEquals(2, requests(Renew.class).isEmpty() ? 2 : subscriber.inForce().version() + 1, "still prepared");
+    assertEquals(-1, subscriber.usableVersion(now), "still prepared");
+    advance(SETTINGS.leaseMicros());
+    List<Renew> renewals = requests(Renew.class);
+    assertEquals(1, renewals.get(renewals.size() - 1).held());
+    assertEquals(2, renewals.get(renewals.size() - 1).prepared());
     receive(new Status(2, 2, false));
     grant(2);
     receive(snapshotOffer(FIRST, false));
