Log and count what ends each relay, how, and the bytes that a side did not get

Need: the seven hypotheses of the incident cannot be told apart, since no event names the end of an established connection.

Change: a Relay without I/O records what ended it first, the fault and the bytes that were read and not written to either side; relay.cut (INFO, limited) and relay.ended (DEBUG) tell it by invocation, relay_* counts it by cause. invocation.arrived links the client's request id to the invocation, call.started numbers attempts, client.left names ends before an answer. How connections end is unchanged.

--- a/proxy/src/main/java/amberhoist/core/Attempts.java
+++ b/proxy/src/main/java/amberhoist/core/Attempts.java
@@ -48,6 +48,7 @@
     invocation.attemptCount++;
     invocation.providerName = provider;
     invocation.attemptStartedAt = now;
+    telemetry.onAttemptStarted(invocationId, provider, invocation.attemptCount);
     invocation.attemptDeadline = Math.min(deadline, invocation.request.deadline());
     invocation.connectionId = commands.connect(invocationId, invocation.clientId, provider);
     if (invocation.connectionId == SlotTable.NONE) {
--- a/proxy/src/main/java/amberhoist/core/Telemetry.java
+++ b/proxy/src/main/java/amberhoist/core/Telemetry.java
@@ -13,6 +13,9 @@
 
   /** Discards all events. */
   Telemetry NONE = new Telemetry() {
+    @Override
+    public void onAttemptStarted(long invocationId, String provider, int attempt) {}
+
     @Override
     public void onAttemptEnded(long invocationId, String provider, Outcome outcome, long micros) {}
 
@@ -23,6 +26,9 @@
     public void onSilentProvider(long invocationId, String provider) {}
   };
 
+  /** An attempt starts; the first of an invocation has number 1. */
+  void onAttemptStarted(long invocationId, String provider, int attempt);
+
   /** An attempt ended after {@code micros}; {@code outcome} is null if the provider answered UP. */
   void onAttemptEnded(long invocationId, String provider, Outcome outcome, long micros);
 
--- a/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
@@ -13,6 +13,7 @@
 import amberhoist.net.DescriptorBudget;
 import amberhoist.net.EventLoop;
 import amberhoist.net.Transport;
+import amberhoist.relay.Relay;
 import java.io.IOException;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.HashMap;
@@ -176,6 +177,8 @@
     loop.post(() -> {
       if (transport.contains(client) && !client.finishing()) {
         client.invocationId(core.onInvocation(arrived, client.id(), request.toArrival()));
+        log.log(Event.INVOCATION_ARRIVED, "a client requests a connection", "invocation", client.invocationId(),
+            "request", request.id(), "class", request.type(), "peer", client);
       } else {
         counters.setupOutcomes().countRequested(request.type()); // the client disconnected or was answered meanwhile
         counters.setupOutcomes().countEnded(request.type(), Outcome.REFUSED);
@@ -223,6 +226,12 @@
       return;
     }
     Connection provider = transport.get(client.peerId());
+    if (client.relaying()) {
+      client.relay().recordEnd(reset ? Relay.End.CLIENT_RESET : Relay.End.CLIENT_FIN, client.faultText());
+    } else {
+      log.log(Event.CLIENT_LEFT, "the client has left before its answer", "invocation", client.invocationId(), "how",
+          reset ? "reset" : "fin", "why", client.faultText());
+    }
     if (client.relaying() && provider != null) {
       close.accept(provider);
     } else if (!reset) {
@@ -256,6 +265,9 @@
 
   @Override
   public void move(Connection client) {
+    if (client.relaying()) {
+      client.relay().recordEnd(Relay.End.MOVE, "");
+    }
     transport.ifPresent(client.peerId(), transport::finish);
     answerAndFinish(client, MOVE);
   }
--- a/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
@@ -10,6 +10,7 @@
 import amberhoist.net.Connection;
 import amberhoist.net.EventLoop;
 import amberhoist.net.Transport;
+import amberhoist.relay.Relay;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.BiConsumer;
@@ -153,17 +154,20 @@
 
   @Override
   public void onInputEnded(Connection provider) {
-    end(provider, transport::finish);
+    end(provider, transport::finish, Relay.End.PROVIDER_FIN);
   }
 
   @Override
   public void onBroken(Connection provider) {
-    end(provider, transport::reset);
+    end(provider, transport::reset, Relay.End.PROVIDER_RESET);
   }
 
   /** Handles the end of a provider connection: ends its client in the same way and notifies the core. */
-  private void end(Connection provider, Consumer<Connection> close) {
+  private void end(Connection provider, Consumer<Connection> close, Relay.End end) {
     boolean wasRelaying = provider.relaying();
+    if (wasRelaying) {
+      provider.relay().recordEnd(end, provider.faultText());
+    }
     Connection client = transport.get(provider.peerId());
     if (wasRelaying && client != null) {
       close.accept(client);
--- a/proxy/src/main/java/amberhoist/net/Connection.java
+++ b/proxy/src/main/java/amberhoist/net/Connection.java
@@ -2,6 +2,8 @@
 
 import amberhoist.core.SlotTable;
 import amberhoist.core.TimerWheel.Timer;
+import amberhoist.relay.Relay;
+import amberhoist.relay.Relay.Side;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
@@ -38,11 +40,12 @@
   boolean reading;
   boolean writing;
   boolean writeFailed; // a write has failed; input that the peer sent before is still read
-  boolean relaying;
+  Relay relay; // null before lines are relayed
   /** The queue is being flushed before the sending side is ended; further input is discarded. */
   boolean finishing;
   boolean outputEnded; // FIN has been sent
   boolean inputEnded;
+  Throwable fault; // of the last operation that failed; null if none has
   Runnable onWritten; // runs once the queue has been written; may be null
   Timer timer;
 
@@ -63,6 +66,11 @@
     return role;
   }
 
+  /** The side of a relay that this connection stands on. */
+  Side side() {
+    return role == Role.PROVIDER ? Side.PROVIDER : Side.CLIENT;
+  }
+
   /** The handler of the protocol spoken on this connection. */
   public ConnectionHandler handler() {
     return handler;
@@ -85,7 +93,17 @@
 
   /** Whether lines are relayed between this connection and its peer. */
   public boolean relaying() {
-    return relaying;
+    return relay != null;
+  }
+
+  /** The relay that this connection belongs to, null before lines are relayed. */
+  public Relay relay() {
+    return relay;
+  }
+
+  /** The fault that broke this connection, in a few words; empty if there is none. */
+  public String faultText() {
+    return fault == null ? "" : String.valueOf(fault.getMessage());
   }
 
   /** Whether this connection is being ended, so that further input is discarded. */
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -2,6 +2,8 @@
 
 import amberhoist.core.SlotTable;
 import amberhoist.net.Connection.Role;
+import amberhoist.relay.Relay;
+import amberhoist.relay.Relay.Side;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -24,6 +26,7 @@
   private final EventLoop loop;
   private final DescriptorBudget descriptorBudget;
   private SocketLimits limits;
+  private final Consumer<Relay> relayListener;
   private final SlotTable<Connection> connections = new SlotTable<>();
 
   private final CompletionHandler<Void, Long> connectHandler = completion((connection, none) -> {
@@ -44,8 +47,14 @@
     void complete(Connection connection, V result);
   }
 
-  /** Creates a transport on this event loop that accounts for its descriptors in this budget. */
-  public Transport(EventLoop loop, DescriptorBudget descriptorBudget, SocketLimits limits) {
+  /**
+   * Creates a transport on this event loop that accounts for its descriptors in this budget.
+   *
+   * @param relayListener receives each relay once both of its connections are closed
+   */
+  public Transport(EventLoop loop, DescriptorBudget descriptorBudget, SocketLimits limits,
+      Consumer<Relay> relayListener) {
+    this.relayListener = relayListener;
     this.loop = loop;
     this.descriptorBudget = descriptorBudget;
     this.limits = limits;
@@ -66,7 +75,10 @@
 
       @Override
       public void failed(Throwable fault, Long id) {
-        loop.run(() -> ifPresent(id, onFailed));
+        loop.run(() -> ifPresent(id, connection -> {
+          connection.fault = fault;
+          onFailed.accept(connection);
+        }));
       }
     };
   }
@@ -173,14 +185,14 @@
   /** Starts to relay lines between client and provider; backpressure applies, and when one ends, the other does too. */
   public void relay(Connection client, Connection provider) {
     client.peerId = provider.id;
-    client.relaying = true;
-    provider.relaying = true;
+    client.relay = new Relay(client.invocationId);
+    provider.relay = client.relay;
   }
 
   /** Starts a read unless one is in progress, input is no longer wanted, or the peer's queue exerts backpressure. */
   public void read(Connection connection) {
     Connection peer = connections.get(connection.peerId);
-    boolean backpressure = connection.relaying && !connection.finishing
+    boolean backpressure = connection.relaying() && !connection.finishing
         && peer != null && peer.queuedBytes > limits.maxQueuedBytes();
     boolean inputWanted = connection.discardedBytes <= limits.maxDiscardedBytes();
     if (!connection.reading && !connection.inputEnded && !backpressure && inputWanted && contains(connection)) {
@@ -208,6 +220,7 @@
       connection.inputBuffer.clear(); // input after the final answer is discarded
       connection.scannedBytes = 0;
       connection.discardedBytes += bytes;
+      addUndelivered(connection, connection.side() == Side.PROVIDER ? Side.CLIENT : Side.PROVIDER, bytes);
     } else {
       connection.handler.onInput(connection);
     }
@@ -220,6 +233,14 @@
       connection.outputQueue.add(ByteBuffer.wrap(bytes));
       connection.queuedBytes += bytes.length;
       write(connection);
+    } else {
+      addUndelivered(connection, connection.side(), bytes.length);
+    }
+  }
+
+  private static void addUndelivered(Connection connection, Side receiver, long bytes) {
+    if (connection.relay != null) {
+      connection.relay.addUndelivered(receiver, bytes);
     }
   }
 
@@ -289,7 +310,11 @@
       connections.remove(connection.id);
       descriptorBudget.onClosed(connection);
       connection.handler.onReleased(connection);
+      addUndelivered(connection, connection.side(), connection.queuedBytes);
       connection.close();
+      if (connection.relay != null && connection.relay.onClosed()) {
+        relayListener.accept(connection.relay);
+      }
     }
   }
 
@@ -318,6 +343,7 @@
       return;
     }
     connection.writeFailed = true;
+    addUndelivered(connection, connection.side(), connection.queuedBytes);
     connection.outputQueue.clear();
     connection.queuedBytes = 0;
     // the timer ends the connection even if backpressure prevents reading
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/relay/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The relay of lines between a client and a provider, without I/O and clock: its ends and what is still owed after them.
+ */
+package amberhoist.relay;
--- a/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
+++ b/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
@@ -4,9 +4,12 @@
 import amberhoist.decide.Balancer.Outcome;
 import amberhoist.log.Event;
 import amberhoist.log.EventLog;
+import amberhoist.metrics.Counters;
+import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
 import amberhoist.net.DirectoryWatch;
+import amberhoist.relay.Relay;
 import java.net.InetSocketAddress;
 import java.util.Locale;
 import java.util.Set;
@@ -21,6 +24,12 @@
     this.latencies = latencies;
   }
 
+  @Override
+  public void onAttemptStarted(long invocation, String provider, int attempt) {
+    log.log(Event.CALL_STARTED, "an attempt started", "invocation", invocation, "provider", provider, "attempt",
+        attempt);
+  }
+
   @Override
   public void onAttemptEnded(long invocation, String provider, Outcome outcome, long micros) {
     latencies.record(Span.CALL, micros);
@@ -40,6 +49,30 @@
     log.log(Event.PROVIDER_SILENT, "the provider is silent", "invocation", invocation, "provider", provider);
   }
 
+  /** Counts the ends of relays by what ended them, and logs them. */
+  record RelayLog(EventLog log, Counters counters) {
+    void onRelayEnded(Relay relay) {
+      counters.increment(switch (relay.end()) {
+        case CLIENT_FIN -> Count.RELAY_CLIENT_FIN;
+        case CLIENT_RESET -> Count.RELAY_CLIENT_RESET;
+        case PROVIDER_FIN -> Count.RELAY_PROVIDER_FIN;
+        case PROVIDER_RESET -> Count.RELAY_PROVIDER_RESET;
+        case MOVE -> Count.RELAY_MOVE;
+        case CLOSE -> Count.RELAY_CLOSE;
+      });
+      String end = lowerCaseName(relay.end());
+      if (relay.undeliveredToClientBytes() + relay.undeliveredToProviderBytes() == 0) {
+        log.log(Event.RELAY_ENDED, "a relay ended", "invocation", relay.invocationId(), "end", end, "why",
+            relay.reason());
+        return;
+      }
+      counters.increment(Count.RELAY_CUT);
+      log.log(Event.RELAY_CUT, "a relay ended before all bytes were written", "invocation", relay.invocationId(), "end",
+          end, "why", relay.reason(), "undelivered_to_client", relay.undeliveredToClientBytes(),
+          "undelivered_to_provider", relay.undeliveredToProviderBytes());
+    }
+  }
+
   /** Logs answers and failures of the directory watch. */
   record DirectoryWatchLog(EventLog log) implements DirectoryWatch.Listener {
     @Override
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -81,7 +81,8 @@
     descriptorLimits = new DescriptorLimits(descriptors, log);
     loop = new EventLoop(fault -> log.logException(Event.LOOP_FAULT, "a task on the loop failed", fault),
         lagMicros -> latencies.record(Span.LOOP_LAG, lagMicros));
-    transport = new Transport(loop, descriptors, operator.socketLimits());
+    transport = new Transport(loop, descriptors, operator.socketLimits(),
+        new LoggingTelemetry.RelayLog(log, counters)::onRelayEnded);
     clients = new LineClientHandler(loop, transport, descriptors, counters, log);
     LineProviderHandler providers = new LineProviderHandler(loop, transport, counters, registry,
         (provider, fault) -> log.log(Event.PROVIDER_UNDIALLED, "cannot connect", "provider", provider, "why", fault));
--- a/proxy/src/test/java/amberhoist/LayersTest.java
+++ b/proxy/src/test/java/amberhoist/LayersTest.java
@@ -39,6 +39,11 @@
           .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
           .orShould().dependOnClassesThat().resideInAPackage("amberhoist.clock..");
 
+  @ArchTest
+  static final ArchRule RELAY_DEPENDS_ON_NOTHING_ELSE =
+      classes().that().resideInAPackage("amberhoist.relay..").should().onlyDependOnClassesThat()
+          .resideInAnyPackage("amberhoist.relay..", "java.lang..", "java.util");
+
   @ArchTest
   static final ArchRule FRONTS_DO_NOT_DEPEND_ON_EACH_OTHER =
       slices().matching("amberhoist.front.(*)..").should().notDependOnEachOther();
