--- a/proxy/src/main/java/amberhoist/service/StatusCollector.java
+++ b/proxy/src/main/java/amberhoist/service/StatusCollector.java
@@ -12,7 +12,7 @@
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
-import amberhoist.net.Signals;
+import amberhoist.signal.Signals;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
--- a/proxy/src/main/java/amberhoist/net/Signals.java
+++ b/proxy/src/main/java/amberhoist/signal/Signals.java
@@ -1,4 +1,4 @@
-package amberhoist.net;
+package amberhoist.signal;
 
 import java.io.IOException;
 import java.lang.reflect.InvocationHandler;
--- a/proxy/src/test/java/amberhoist/cli/ConnectionEndProcessTest.java
+++ b/proxy/src/test/java/amberhoist/cli/ConnectionEndProcessTest.java
@@ -19,8 +19,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Ends of established connections at a proxy process. SIGSTOP holds the process while both sides act, so that the events
- * cross in the proxy's sockets.
+ * Ends of established connections at a proxy process. SIGSTOP holds the process while both sides act, so that the
+ * events cross in the proxy's sockets.
  */
 @Timeout(60)
 class ConnectionEndProcessTest {
@@ -40,8 +40,8 @@
   @BeforeEach
   void establishConnection() throws Exception {
     int providerPort = harness.startListener((socket, in) -> providerEnds.add(socket));
-    String list = "{\"index\":1,\"snapshot\":true,\"endpoints\":[{\"name\":\"p0\",\"address\":\"127.0.0.1:" + providerPort
-        + "\",\"zone\":\"here\",\"type\":\"m\",\"group\":0,\"status\":\"active\",\"weight\":1.0,\"since_ms\":0}]}";
+    String list = "{\"index\":1,\"snapshot\":true,\"endpoints\":[{\"name\":\"p0\",\"address\":\"127.0.0.1:"
+        + providerPort + "\",\"zone\":\"here\",\"type\":\"m\",\"group\":0,\"status\":\"active\",\"weight\":1.0,\"since_ms\":0}]}";
     int directory = harness.startDirectory((socket, in) -> ProxyProcessHarness.write(socket,
         ProxyProcessHarness.httpChunk(list)));
     String config = Files.readString(Path.of("../example/config.json"))
--- a/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
@@ -6,8 +6,8 @@
 import static org.junit.Assert.assertTrue;
 
 import amberhoist.metrics.Counters.Count;
-import amberhoist.net.Signals;
 import amberhoist.service.StubPeers.Peer;
+import amberhoist.signal.Signals;
 import java.net.ServerSocket;
 import java.util.concurrent.CountDownLatch;
 import org.junit.Test;
--- a/proxy/src/test/java/amberhoist/net/SignalsTest.java
+++ b/proxy/src/test/java/amberhoist/signal/SignalsTest.java
@@ -1,4 +1,4 @@
-package amberhoist.net;
+package amberhoist.signal;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
