Relay the provider's last lines to a client that has ended its sending side

Cause: LineClientHandler.end finished both connections at the client's FIN. Transport.finish discards the input of a connection, so what the provider wrote upon that FIN, or had written across it, was read and dropped, and the client got FIN at once.

Change: how a relay ends is a state machine without I/O (relay.Relay), carried out by RelayCloser. A client's FIN ends only the sending side to the provider; its lines are relayed until it ends, sends nothing for the linger time (1 s), or ten times that. Its own end then ends the client. The core hears of the client's end at once, as before.

--- a/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
@@ -13,12 +13,12 @@
 import amberhoist.net.DescriptorBudget;
 import amberhoist.net.EventLoop;
 import amberhoist.net.Transport;
-import amberhoist.relay.Relay;
+import amberhoist.relay.Relay.Ending;
 import java.io.IOException;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /** Speaks the line protocol with clients: the first line, the lines relayed after it, and the final answer. */
 public final class LineClientHandler implements Front, ClientHandler {
@@ -36,6 +36,7 @@
   private final DescriptorBudget descriptors;
   private final Counters counters;
   private final EventLog log;
+  private final RelayCloser relayCloser;
   /** Connections of the clients being served, by the id in their open request. */
   private final Map<String, Long> connectionIds = new HashMap<>();
   private LineLimits limits = LineLimits.DEFAULT;
@@ -52,6 +53,7 @@
     this.descriptors = descriptors;
     this.counters = counters;
     this.log = log;
+    relayCloser = new RelayCloser(transport);
   }
 
   /** Sets the core that handles invocations. */
@@ -208,39 +210,44 @@
 
   @Override
   public void onInputEnded(Connection client) {
-    end(client, transport::finish, false);
+    end(client, Ending.FIN);
   }
 
   @Override
   public void onBroken(Connection client) {
-    end(client, transport::reset, true);
+    end(client, Ending.RESET);
   }
 
-  /** Handles the end of a client connection: ends its provider in the same way and notifies the core. */
-  private void end(Connection client, Consumer<Connection> close, boolean reset) {
+  /** Handles the end of a client connection and notifies the core. */
+  private void end(Connection client, Ending ending) {
     if (client.role() == Role.PENDING_CLIENT) {
-      if (!reset && client.bufferedBytes() > 0) {
+      if (ending == Ending.FIN && client.bufferedBytes() > 0) {
         failMalformed(client, "connection ended within the first line");
       }
-      close.accept(client);
+      close(client, ending);
       return;
     }
-    Connection provider = transport.get(client.peerId());
     if (client.relaying()) {
-      client.relay().recordEnd(reset ? Relay.End.CLIENT_RESET : Relay.End.CLIENT_FIN, client.faultText());
+      relayCloser.onEnded(client, ending);
     } else {
       log.log(Event.CLIENT_LEFT, "the client has left before its answer", "invocation", client.invocationId(), "how",
-          reset ? "reset" : "fin", "why", client.faultText());
-    }
-    if (client.relaying() && provider != null) {
-      close.accept(provider);
-    } else if (!reset) {
-      transport.send(client, ERR); // it may have ended only its sending side; an attempt may have run
+          ending.name().toLowerCase(Locale.ROOT), "why", client.faultText());
+      if (ending == Ending.FIN) {
+        transport.send(client, ERR); // it may have ended only its sending side; an attempt may have run
+      }
+      close(client, ending);
     }
-    close.accept(client);
     core.onClientDisconnected(loop.now(), client.invocationId());
   }
 
+  private void close(Connection client, Ending ending) {
+    if (ending == Ending.FIN) {
+      transport.finish(client);
+    } else {
+      transport.reset(client);
+    }
+  }
+
   @Override
   public void onReleased(Connection client) {
     if (client.attachment() instanceof OpenRequest request) {
@@ -265,10 +272,7 @@
 
   @Override
   public void move(Connection client) {
-    if (client.relaying()) {
-      client.relay().recordEnd(Relay.End.MOVE, "");
-    }
-    transport.ifPresent(client.peerId(), transport::finish);
-    answerAndFinish(client, MOVE);
+    transport.send(client, MOVE);
+    relayCloser.onMoved(client);
   }
 }
--- a/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
@@ -10,11 +10,10 @@
 import amberhoist.net.Connection;
 import amberhoist.net.EventLoop;
 import amberhoist.net.Transport;
-import amberhoist.relay.Relay;
+import amberhoist.relay.Relay.Ending;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 
 /** Speaks the line protocol with providers: the forwarded first line, the answer to it, and the lines after that. */
 public final class LineProviderHandler implements ProviderHandler {
@@ -35,6 +34,7 @@
   private final ProviderRegistry registry;
   private final BiConsumer<String, Throwable> onConnectFailed;
   private final LoadReportFetcher reports;
+  private final RelayCloser relayCloser;
   private Core core;
 
   /** Creates a handler; {@code onConnectFailed} is called with a provider if no socket to it could be opened. */
@@ -46,6 +46,7 @@
     this.registry = registry;
     this.onConnectFailed = onConnectFailed;
     reports = new LoadReportFetcher(loop, transport, registry);
+    relayCloser = new RelayCloser(transport);
   }
 
   /** Sets the core to notify of events; must be called before the first connection. */
@@ -154,30 +155,26 @@
 
   @Override
   public void onInputEnded(Connection provider) {
-    end(provider, transport::finish, Relay.End.PROVIDER_FIN);
+    end(provider, Ending.FIN);
   }
 
   @Override
   public void onBroken(Connection provider) {
-    end(provider, transport::reset, Relay.End.PROVIDER_RESET);
+    end(provider, Ending.RESET);
   }
 
-  /** Handles the end of a provider connection: ends its client in the same way and notifies the core. */
-  private void end(Connection provider, Consumer<Connection> close, Relay.End end) {
-    boolean wasRelaying = provider.relaying();
-    if (wasRelaying) {
-      provider.relay().recordEnd(end, provider.faultText());
-    }
-    Connection client = transport.get(provider.peerId());
-    if (wasRelaying && client != null) {
-      close.accept(client);
-    }
-    close.accept(provider);
-    if (wasRelaying) {
+  private void end(Connection provider, Ending ending) {
+    if (provider.relaying()) {
+      relayCloser.onEnded(provider, ending);
       Outcome closingOutcome = ((ProviderSession) provider.attachment()).closingOutcome;
       core.onConnectionEnded(loop.now(), provider.invocationId(), provider.id(),
           closingOutcome == null ? Outcome.RESET : closingOutcome);
     } else {
+      if (ending == Ending.FIN) {
+        transport.finish(provider);
+      } else {
+        transport.reset(provider);
+      }
       core.onAttemptFailed(loop.now(), provider.invocationId(), provider.id(), Outcome.RESET);
     }
   }
--- a/proxy/src/main/java/amberhoist/net/Connection.java
+++ b/proxy/src/main/java/amberhoist/net/Connection.java
@@ -43,8 +43,12 @@
   Relay relay; // null before lines are relayed
   /** The queue is being flushed before the sending side is ended; further input is discarded. */
   boolean finishing;
+  /** The queue is being written before FIN is sent; input is still handled. */
+  boolean outputEnding;
   boolean outputEnded; // FIN has been sent
   boolean inputEnded;
+  long readBytes;
+  long writtenBytes;
   Throwable fault; // of the last operation that failed; null if none has
   Runnable onWritten; // runs once the queue has been written; may be null
   Timer timer;
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -23,8 +23,11 @@
  * of them, the other is not read.
  */
 public final class Transport {
+  private static final int MAX_HALF_CLOSED_LINGERS = 10;
+
   private final EventLoop loop;
   private final DescriptorBudget descriptorBudget;
+  private final StallTimer stallTimer;
   private SocketLimits limits;
   private final Consumer<Relay> relayListener;
   private final SlotTable<Connection> connections = new SlotTable<>();
@@ -40,6 +43,7 @@
   private final CompletionHandler<Integer, Long> writeHandler = completion((connection, bytes) -> {
     connection.writing = false;
     connection.queuedBytes -= bytes;
+    connection.writtenBytes += bytes;
     write(connection);
   }, this::onWriteFailed);
 
@@ -56,6 +60,7 @@
       Consumer<Relay> relayListener) {
     this.relayListener = relayListener;
     this.loop = loop;
+    stallTimer = new StallTimer(loop);
     this.descriptorBudget = descriptorBudget;
     this.limits = limits;
   }
@@ -213,6 +218,7 @@
       }
       return;
     }
+    connection.readBytes += bytes;
     if (connection.role == Role.PENDING_CLIENT) {
       descriptorBudget.onInput(connection);
     }
@@ -220,7 +226,7 @@
       connection.inputBuffer.clear(); // input after the final answer is discarded
       connection.scannedBytes = 0;
       connection.discardedBytes += bytes;
-      addUndelivered(connection, connection.side() == Side.PROVIDER ? Side.CLIENT : Side.PROVIDER, bytes);
+      addUndelivered(connection, connection.side().other(), bytes);
     } else {
       connection.handler.onInput(connection);
     }
@@ -229,7 +235,7 @@
 
   /** Queues bytes to be written; ignored on a connection that is being ended or cannot be written. */
   public void send(Connection connection, byte[] bytes) {
-    if (!connection.finishing && !connection.writeFailed) {
+    if (!connection.finishing && !connection.outputEnding && !connection.writeFailed) {
       connection.outputQueue.add(ByteBuffer.wrap(bytes));
       connection.queuedBytes += bytes.length;
       write(connection);
@@ -265,9 +271,8 @@
       Runnable callback = connection.onWritten;
       connection.onWritten = null;
       callback.run();
-    } else if (connection.finishing && !connection.outputEnded) {
-      connection.outputEnded = true;
-      endOutput(connection);
+    } else if ((connection.finishing || connection.outputEnding) && !connection.outputEnded) {
+      sendFin(connection);
     }
     Connection peer = connections.get(connection.peerId);
     if (peer != null && connection.queuedBytes <= limits.maxQueuedBytes()) {
@@ -275,13 +280,22 @@
     }
   }
 
-  private void endOutput(Connection connection) {
+  private void sendFin(Connection connection) {
+    connection.outputEnded = true;
     try {
       connection.channel.shutdownOutput();
     } catch (IOException fault) {
-      closeNow(connection);
+      connection.fault = fault;
+      onBroken(connection);
       return;
     }
+    if (connection.finishing) {
+      awaitInputEnd(connection);
+    }
+  }
+
+  /** Both sending sides must have ended before a close, or it may reset the connection over unread input. */
+  private void awaitInputEnd(Connection connection) {
     if (connection.inputEnded) {
       closeNow(connection);
     } else {
@@ -289,6 +303,29 @@
     }
   }
 
+  /**
+   * Ends the sending side only: writes the queue and sends FIN, and goes on handling input until the peer ends.
+   *
+   * @param onStalled called if the peer neither ends nor sends anything for the linger time, or has not ended after
+   *     {@value #MAX_HALF_CLOSED_LINGERS} times as long
+   */
+  public void endOutput(Connection connection, Runnable onStalled) {
+    if (connection.finishing || connection.outputEnding || !contains(connection)) {
+      return;
+    }
+    connection.outputEnding = true;
+    long end = loop.now() + MAX_HALF_CLOSED_LINGERS * limits.lingerMicros();
+    stallTimer.arm(connection, limits.lingerMicros(), end, () -> halfClosedProgress(connection), onStalled);
+    write(connection);
+    read(connection);
+  }
+
+  /** A slow reader on the other side keeps this connection from being read, so its progress counts as well. */
+  private long halfClosedProgress(Connection connection) {
+    Connection peer = connections.get(connection.peerId);
+    return connection.readBytes + connection.writtenBytes + (peer == null ? 0 : peer.writtenBytes);
+  }
+
   /** Closes a connection gracefully: writes the queue, sends FIN, then waits briefly for the peer to end its side. */
   public void finish(Connection connection) {
     if (connection.writeFailed) {
@@ -299,7 +336,11 @@
       connection.handler.onReleased(connection);
       long timeoutMicros = 2 * limits.lingerMicros(); // for a peer that does not read
       connection.timer(loop.timerWheel().arm(loop.now() + timeoutMicros, now -> closeNow(connection)));
-      write(connection);
+      if (connection.outputEnded) {
+        awaitInputEnd(connection);
+      } else {
+        write(connection);
+      }
       read(connection);
     }
   }
--- a/proxy/src/main/java/amberhoist/relay/Relay.java
+++ b/proxy/src/main/java/amberhoist/relay/Relay.java
@@ -1,10 +1,32 @@
 package amberhoist.relay;
 
+import java.util.List;
+
 /**
- * A client's and a provider's connection that relay lines to each other. Records what ended the relay and how many
- * bytes each side did not get, for the log and the metrics.
+ * The end of a relay between a client and a provider, as a state machine: events in, actions out. It also records what
+ * ended the relay first and how many bytes each side did not get, for the log and the metrics.
+ *
+ * <p>The first side to end decides how the other one ends. Lines that a side wrote before its end are owed to the other
+ * side, and lines that the provider still writes are owed to a client that has only ended its sending side.
  */
 public final class Relay {
+  /** A side of a relay. */
+  public enum Side {
+    CLIENT,
+    PROVIDER;
+
+    /** The other side. */
+    public Side other() {
+      return this == CLIENT ? PROVIDER : CLIENT;
+    }
+  }
+
+  /** How a side ends its connection. */
+  public enum Ending {
+    FIN,
+    RESET
+  }
+
   /** What ended a relay first. */
   public enum End {
     /** The client has ended its sending side. */
@@ -21,15 +43,35 @@
     CLOSE
   }
 
-  /** A side of a relay. */
-  public enum Side {
-    CLIENT,
-    PROVIDER
+  /** What is to be done with a connection of the relay; ignored for a connection that is closed. */
+  public enum Action {
+    /** Write what is queued for the provider, then send FIN; go on relaying its lines until it ends. */
+    END_PROVIDER_OUTPUT,
+    /** Write what is queued for the client, then send FIN, and discard its input. */
+    FINISH_CLIENT,
+    /** Write what is queued for the provider, then send FIN, and discard its input. */
+    FINISH_PROVIDER,
+    /** Reset the connection of the client. */
+    RESET_CLIENT,
+    /** Reset the connection of the provider. */
+    RESET_PROVIDER,
+    /** Close the connection of the client, which is broken. */
+    CLOSE_CLIENT,
+    /** Close the connection of the provider, which is broken. */
+    CLOSE_PROVIDER
+  }
+
+  private enum State {
+    RELAYING,
+    /** The client has ended its sending side; the provider may still write. */
+    CLIENT_ENDED,
+    ENDED
   }
 
   private static final int CONNECTIONS = 2;
 
   private final long invocationId;
+  private State state = State.RELAYING;
   private int openConnections = CONNECTIONS;
   private End end;
   private String reason = "";
@@ -41,8 +83,54 @@
     this.invocationId = invocationId;
   }
 
-  /** Records what ended this relay, unless an earlier end is recorded; {@code newReason} names a fault, or is empty. */
-  public void recordEnd(End newEnd, String newReason) {
+  /**
+   * A side has ended its connection, and all of its lines have been taken.
+   *
+   * @param newReason the fault that broke the connection, empty if none did
+   */
+  public List<Action> onEnded(Side side, Ending ending, String newReason) {
+    recordEnd(endOf(side, ending), newReason);
+    State before = state;
+    if (before == State.ENDED) {
+      return List.of();
+    }
+    if (side == Side.CLIENT && ending == Ending.FIN) {
+      state = State.CLIENT_ENDED;
+      return List.of(Action.END_PROVIDER_OUTPUT);
+    }
+    state = State.ENDED;
+    if (side == Side.CLIENT) {
+      // a provider that was sent FIN is not reset afterwards: its client ended in order
+      return List.of(before == State.RELAYING ? Action.RESET_PROVIDER : Action.FINISH_PROVIDER, Action.CLOSE_CLIENT);
+    }
+    return ending == Ending.FIN ? List.of(Action.FINISH_CLIENT, Action.FINISH_PROVIDER)
+        : List.of(Action.RESET_CLIENT, Action.CLOSE_PROVIDER);
+  }
+
+  /** The provider has not ended its connection in time after the end of the client's sending side. */
+  public List<Action> onProviderStalled() {
+    if (state != State.CLIENT_ENDED) {
+      return List.of();
+    }
+    state = State.ENDED;
+    return List.of(Action.FINISH_CLIENT, Action.CLOSE_PROVIDER);
+  }
+
+  /** The proxy moves the client, which is sent MOVE first. */
+  public List<Action> onMove() {
+    recordEnd(End.MOVE, "");
+    state = State.ENDED;
+    return List.of(Action.FINISH_PROVIDER, Action.FINISH_CLIENT);
+  }
+
+  private static End endOf(Side side, Ending ending) {
+    if (side == Side.CLIENT) {
+      return ending == Ending.FIN ? End.CLIENT_FIN : End.CLIENT_RESET;
+    }
+    return ending == Ending.FIN ? End.PROVIDER_FIN : End.PROVIDER_RESET;
+  }
+
+  private void recordEnd(End newEnd, String newReason) {
     if (end == null) {
       end = newEnd;
       reason = newReason;
--- /dev/null
+++ b/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
@@ -0,0 +1,92 @@
+package amberhoist.service;
+
+import static amberhoist.service.StubPeers.openRequest;
+import static org.junit.Assert.assertEquals;
+
+import amberhoist.metrics.Counters.Count;
+import amberhoist.service.StubPeers.Peer;
+import org.junit.Test;
+
+/** What each side of an established connection is owed when one of them ends it, over loopback sockets. */
+public class ConnectionEndScenarioTest {
+  private static void assertReads(Peer peer, String... lines) throws Exception {
+    for (String line : lines) {
+      assertEquals(line, peer.readLine());
+    }
+  }
+
+  @Test
+  public void clientThatEndedItsSendingSideGetsTheProvidersLastLines() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      Peer[] ends = peers.establish("k", 0);
+      ends[0].send("question\r\nhalf a line").socket.shutdownOutput();
+      assertReads(ends[1], "question", "FIN");
+      ends[1].send("answer\r\n").send("BYE\r\n").socket.shutdownOutput();
+      assertReads(ends[0], "answer", "BYE", "FIN");
+      assertEquals(1, peers.service.count(Count.CLIENT_LEFT));
+    }
+  }
+
+  @Test
+  public void clientFinThatCrossesTheProvidersLastLinesLosesNone() throws Exception {
+    for (boolean reset : new boolean[] {false, true}) {
+      try (StubPeers peers = new StubPeers(1)) {
+        Peer[] ends = peers.establish("k", 0);
+        try (StubPeers.LoopPause pause = peers.pauseLoop()) {
+          ends[0].socket.shutdownOutput();
+          pause.awaitQueuedTask();
+          ends[1].send("last\r\n");
+          pause.awaitQueuedTask();
+          if (reset) {
+            ends[1].reset();
+          } else {
+            ends[1].send("BYE\r\n").socket.close();
+          }
+        }
+        assertReads(ends[0], reset ? new String[] {"last", "RESET"} : new String[] {"last", "BYE", "FIN"});
+      }
+    }
+  }
+
+  @Test
+  public void clientFinIsNotHeldAgainstAProviderThatNeverEnds() throws Exception {
+    try (StubPeers peers = new StubPeers(1, 1024, "[sockets]\nlinger = \"100ms\"\n")) {
+      Peer[] ends = peers.establish("k", 0);
+      ends[0].socket.shutdownOutput();
+      assertReads(ends[1], "FIN");
+      assertReads(ends[0], "FIN");
+      assertEquals(0, peers.service.count(Count.ENDED_RESET));
+      DirectoryScenarioTest.awaitCount(peers, Count.RELAY_CLIENT_FIN, 1);
+      assertEquals(0, peers.service.connections());
+    }
+  }
+
+  @Test
+  public void clientThatClosedWhollyEndsItsProviderByFin() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      Peer[] ends = peers.establish("k", 0);
+      ends[0].send("last\r\n").socket.close();
+      assertReads(ends[1], "last", "FIN");
+      ends[1].send("nobody\r\n").send("reads\r\n").send("this\r\n").socket.close();
+      DirectoryScenarioTest.awaitCount(peers, Count.RELAY_CLIENT_FIN, 1);
+      assertEquals(0, peers.service.connections());
+    }
+  }
+
+  @Test
+  public void clientThatEndsItsSendingSideBeforeUpGetsOneFinalAnswer() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      Peer client = peers.connectClient(openRequest("k", 3000, ""));
+      Peer provider = peers.acceptAtProvider(0);
+      provider.readLine();
+      try (StubPeers.LoopPause pause = peers.pauseLoop()) {
+        client.socket.shutdownOutput();
+        pause.awaitQueuedTask();
+        provider.send("UP 1\r\n");
+        pause.awaitQueuedTask();
+      }
+      assertReads(client, "ERR", "FIN");
+      assertEquals(0, peers.service.count(Count.ANSWERED_UP));
+    }
+  }
+}
