Pass a reset on only once the lines before it are written and sent

What callers saw: of lines that a provider writes before it resets, the later ones do not reach the client.

Cause: a reset was passed on by closing the other side with SO_LINGER 0 at once. That drops the proxy's queue (from the third line of a burst on, since a channel takes one write at a time and its completion comes as a task), and what the system has not sent yet: small lines beyond the congestion window, or all that a slow reader has not taken.

Change: RESET_CLIENT and RESET_PROVIDER write the queue, then wait until the system holds no unsent bytes (TCP_NOTSENT_LOWAT and poll, by the reflection that sets SO_LINGER), then reset. A peer that takes nothing ends by the time limit of a flush, as before. The completion handlers move out of Transport, the option classes into net.option.

--- a/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
+++ b/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
@@ -38,8 +38,8 @@
             () -> run(provider, provider.relay().onProviderStalled())));
         case FINISH_CLIENT -> with(clientId, transport::finish);
         case FINISH_PROVIDER -> with(providerId, transport::finish);
-        case RESET_CLIENT -> with(clientId, transport::reset);
-        case RESET_PROVIDER -> with(providerId, transport::reset);
+        case RESET_CLIENT -> with(clientId, transport::resetAfterWriting);
+        case RESET_PROVIDER -> with(providerId, transport::resetAfterWriting);
         case CLOSE_CLIENT -> with(clientId, transport::closeNow);
         case CLOSE_PROVIDER -> with(providerId, transport::closeNow);
       }
--- a/proxy/src/main/java/amberhoist/net/Connection.java
+++ b/proxy/src/main/java/amberhoist/net/Connection.java
@@ -47,6 +47,7 @@
   boolean outputEnding;
   boolean outputEnded; // FIN has been sent
   boolean inputEnded;
+  boolean resetWhenWritten; // ends by a reset instead of FIN once the queue is written
   long readBytes;
   long writtenBytes;
   Throwable fault; // of the last operation that failed; null if none has
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -2,6 +2,7 @@
 
 import amberhoist.core.SlotTable;
 import amberhoist.net.Connection.Role;
+import amberhoist.net.option.UnsupportedOptions;
 import amberhoist.relay.Relay;
 import amberhoist.relay.Relay.Side;
 import java.io.IOException;
@@ -32,24 +33,9 @@
   private final Consumer<Relay> relayListener;
   private final SlotTable<Connection> connections = new SlotTable<>();
 
-  private final CompletionHandler<Void, Long> connectHandler = completion((connection, none) -> {
-    connection.connected = true;
-    connection.handler.onConnected(connection);
-  }, this::onBroken);
-  private final CompletionHandler<Integer, Long> readHandler = completion((connection, bytes) -> {
-    connection.reading = false;
-    onRead(connection, bytes);
-  }, this::onBroken);
-  private final CompletionHandler<Integer, Long> writeHandler = completion((connection, bytes) -> {
-    connection.writing = false;
-    connection.queuedBytes -= bytes;
-    connection.writtenBytes += bytes;
-    write(connection);
-  }, this::onWriteFailed);
-
-  private interface Completion<V> {
-    void complete(Connection connection, V result);
-  }
+  private final CompletionHandler<Void, Long> connectHandler;
+  private final CompletionHandler<Integer, Long> readHandler;
+  private final CompletionHandler<Integer, Long> writeHandler;
 
   /**
    * Creates a transport on this event loop that accounts for its descriptors in this budget.
@@ -63,6 +49,21 @@
     stallTimer = new StallTimer(loop);
     this.descriptorBudget = descriptorBudget;
     this.limits = limits;
+    Completions completions = new Completions(loop, connections);
+    connectHandler = completions.handler((connection, none) -> {
+      connection.connected = true;
+      connection.handler.onConnected(connection);
+    }, this::onBroken);
+    readHandler = completions.handler((connection, bytes) -> {
+      connection.reading = false;
+      onRead(connection, bytes);
+    }, this::onBroken);
+    writeHandler = completions.handler((connection, bytes) -> {
+      connection.writing = false;
+      connection.queuedBytes -= bytes;
+      connection.writtenBytes += bytes;
+      write(connection);
+    }, this::onWriteFailed);
   }
 
   /** Changes the limits; bytes already queued stay queued. */
@@ -70,24 +71,6 @@
     limits = newLimits;
   }
 
-  /** A completion handler that looks its connection up by id, so that completions after its close are ignored. */
-  private <V> CompletionHandler<V, Long> completion(Completion<V> onCompleted, Consumer<Connection> onFailed) {
-    return new CompletionHandler<>() {
-      @Override
-      public void completed(V result, Long id) {
-        loop.run(() -> ifPresent(id, connection -> onCompleted.complete(connection, result)));
-      }
-
-      @Override
-      public void failed(Throwable fault, Long id) {
-        loop.run(() -> ifPresent(id, connection -> {
-          connection.fault = fault;
-          onFailed.accept(connection);
-        }));
-      }
-    };
-  }
-
   /** Registers an accepted connection; the caller sets it up and then starts reading. */
   public Connection registerAccepted(AsynchronousSocketChannel channel, ConnectionHandler handler) {
     Connection connection = new Connection(channel, Role.PENDING_CLIENT, handler, limits.lingerMicros());
@@ -271,6 +254,8 @@
       Runnable callback = connection.onWritten;
       connection.onWritten = null;
       callback.run();
+    } else if (connection.resetWhenWritten) {
+      resetOnceSent(connection);
     } else if ((connection.finishing || connection.outputEnding) && !connection.outputEnded) {
       sendFin(connection);
     }
@@ -361,10 +346,24 @@
 
   /** Closes a connection immediately by a reset. */
   public void reset(Connection connection) {
-    ResetOnClose.enable(connection.channel);
+    UnsupportedOptions.resetOnClose(connection.channel);
     closeNow(connection);
   }
 
+  /** Resets a connection once its queue is written and sent; discards its input meanwhile. */
+  public void resetAfterWriting(Connection connection) {
+    connection.resetWhenWritten = true;
+    finish(connection);
+  }
+
+  private void resetOnceSent(Connection connection) {
+    if (UnsupportedOptions.hasUnsentBytes(connection.channel)) {
+      loop.timerWheel().arm(loop.now() + EventLoop.TICK_MICROS, now -> write(connection));
+    } else {
+      reset(connection);
+    }
+  }
+
   /** Handles a connection that broke, could not be established, or received invalid input. */
   public void onBroken(Connection connection) {
     if (connection.finishing) {
--- a/proxy/src/main/java/amberhoist/relay/Relay.java
+++ b/proxy/src/main/java/amberhoist/relay/Relay.java
@@ -51,9 +51,9 @@
     FINISH_CLIENT,
     /** Write what is queued for the provider, then send FIN, and discard its input. */
     FINISH_PROVIDER,
-    /** Reset the connection of the client. */
+    /** Write what is queued for the client, then reset its connection. */
     RESET_CLIENT,
-    /** Reset the connection of the provider. */
+    /** Write what is queued for the provider, then reset its connection. */
     RESET_PROVIDER,
     /** Close the connection of the client, which is broken. */
     CLOSE_CLIENT,
--- a/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
@@ -9,6 +9,8 @@
 
 /** What each side of an established connection is owed when one of them ends it, over loopback sockets. */
 public class ConnectionEndScenarioTest {
+  private static final String LONG_LINE = "y".repeat(4000);
+
   private static void assertReads(Peer peer, String... lines) throws Exception {
     for (String line : lines) {
       assertEquals(line, peer.readLine());
@@ -73,6 +75,55 @@
     }
   }
 
+  @Test
+  public void linesWrittenBeforeAResetReachTheOtherSideBeforeIt() throws Exception {
+    for (int lines : new int[] {1, 2, 3, 40, 400}) {
+      for (int from = 0; from < 2; from++) {
+        try (StubPeers peers = new StubPeers(1)) {
+          Peer[] ends = peers.establish("k", 0);
+          try (StubPeers.LoopPause pause = peers.pauseLoop()) {
+            ends[from].send("x\r\n".repeat(lines)).reset();
+            pause.awaitQueuedTask();
+          }
+          for (int i = 0; i < lines; i++) {
+            assertEquals("line " + i + " of " + lines, "x", ends[1 - from].readLine());
+          }
+          assertEquals("RESET", ends[1 - from].readLine());
+        }
+      }
+    }
+  }
+
+  /** Sends lines to a peer that reads nothing until the proxy has stopped reading them; returns their number. */
+  private static int fillUp(StubPeers peers, Peer from, Count relayed) throws Exception {
+    int sent = 0;
+    long deadline = 0;
+    do {
+      from.send(LONG_LINE + "\r\n");
+      sent++;
+      deadline = System.nanoTime() + 300_000_000L;
+      while (peers.service.count(relayed) < sent && System.nanoTime() < deadline) {
+        Thread.onSpinWait();
+      }
+    } while (peers.service.count(relayed) >= sent);
+    return sent;
+  }
+
+  @Test
+  public void resetWaitsForASlowReaderToTakeTheLinesBeforeIt() throws Exception {
+    for (int from = 0; from < 2; from++) {
+      try (StubPeers peers = new StubPeers(1)) {
+        Peer[] ends = peers.establish("k", 0);
+        int lines = fillUp(peers, ends[from], from == 0 ? Count.LINES_TO_PROVIDERS : Count.LINES_TO_CLIENTS);
+        ends[from].reset();
+        for (int i = 0; i < lines; i++) {
+          assertEquals("line " + i + " of " + lines, LONG_LINE, ends[1 - from].readLine());
+        }
+        assertEquals("RESET", ends[1 - from].readLine());
+      }
+    }
+  }
+
   @Test
   public void clientThatEndsItsSendingSideBeforeUpGetsOneFinalAnswer() throws Exception {
     try (StubPeers peers = new StubPeers(1)) {
