Pass a close on as FIN also where a line of the other side crosses it

What callers saw: a client gets a reset, with which it may drop what it has not read, where its provider had closed in order.

Cause: a line that is written to a peer which has closed fails, and Transport took every end of input after a failed write for a reset, since the write consumes the socket's error.

Evidence: relay.cut end=provider_reset why=Broken pipe, where the provider had written its last line and closed.

Change: Linux fails such a write with EPIPE where FIN had come before the reset, and with ECONNRESET where none had; the end of input is then passed on as FIN.

Measured: linesThatCrossACloseDoNotTurnItsFinIntoAReset fails without it, passes five times of five, for both directions.

--- a/proxy/src/main/java/amberhoist/net/Connection.java
+++ b/proxy/src/main/java/amberhoist/net/Connection.java
@@ -21,6 +21,7 @@
     PROVIDER
   }
 
+  private static final String BROKEN_PIPE = "Broken pipe";
   private static final int INITIAL_BUFFER_BYTES = 512;
 
   final AsynchronousSocketChannel channel;
@@ -106,6 +107,14 @@
     return relay;
   }
 
+  /**
+   * Whether the peer had sent FIN before the write that failed: Linux then reports EPIPE, for which Java has only the
+   * text, and otherwise ECONNRESET.
+   */
+  boolean hasFinPrecededFault() {
+    return faultText().equals(BROKEN_PIPE);
+  }
+
   /** The fault that broke this connection, in a few words; empty if there is none. */
   public String faultText() {
     return fault == null ? "" : String.valueOf(fault.getMessage());
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -192,7 +192,7 @@
   private void onRead(Connection connection, int bytes) {
     if (bytes < 0) {
       connection.inputEnded = true;
-      if (connection.writeFailed) {
+      if (connection.writeFailed && !connection.hasFinPrecededFault()) {
         onBroken(connection); // the failed write has consumed the socket error that this read would have reported
       } else if (!connection.finishing) {
         connection.handler.onInputEnded(connection);
--- a/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
@@ -94,6 +94,23 @@
     }
   }
 
+  @Test
+  public void linesThatCrossACloseDoNotTurnItsFinIntoAReset() throws Exception {
+    for (int from = 0; from < 2; from++) {
+      try (StubPeers peers = new StubPeers(1)) {
+        Peer[] ends = peers.establish("k", 0);
+        try (StubPeers.LoopPause pause = peers.pauseLoop()) {
+          ends[1 - from].send("crossing\r\nlines\r\n".repeat(20));
+          pause.awaitQueuedTask();
+          ends[from].send("a line\r\n");
+          pause.awaitQueuedTask();
+          ends[from].send("last\r\n").socket.close();
+        }
+        assertReads(ends[1 - from], "a line", "last", "FIN");
+      }
+    }
+  }
+
   /** Sends lines to a peer that reads nothing until the proxy has stopped reading them; returns their number. */
   private static int fillUp(StubPeers peers, Peer from, Count relayed) throws Exception {
     int sent = 0;
