Send MOVE after the lines that the provider has already written

What callers saw: a line that a provider writes as the proxy moves its client does not reach the client.

Cause: a move finished the provider's connection and sent MOVE at once; what was in the provider's socket was discarded.

Evidence: with a provider that writes all the time, line 77280 of 77281 is missing before MOVE.

Change: a move first ends the sending side to the provider, relays its lines until it ends, for 150 ms at most, and then sends MOVE. The provider's own closing line (BYE, MOVE) is replaced by this MOVE, so that a client sees one of them. Clients of silent providers are sent MOVE at once, as before.

--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -350,7 +350,7 @@
   }
 
   @Override
-  public void move(long clientId) {
+  public void move(long clientId, boolean isProviderSilent) {
     ClientSession session = sessions.remove(clientId);
     if (session != null) {
       session.closed = true;
--- a/proxy/src/main/java/amberhoist/core/Commands.java
+++ b/proxy/src/main/java/amberhoist/core/Commands.java
@@ -23,8 +23,8 @@
   /** Answers a client that its invocation has failed and closes. */
   void fail(long clientId);
 
-  /** Sends a client MOVE, between two lines, and closes. */
-  void move(long clientId);
+  /** Sends a client MOVE, between two lines, and closes; lines under way from a provider that is not silent come first. */
+  void move(long clientId, boolean isProviderSilent);
 
   /** Makes sure that the directory is watched. */
   void watchDirectory();
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -218,7 +218,7 @@
   private void onSilent(Invocation invocation, long invocationId) {
     counters.increment(Count.SILENT);
     telemetry.onSilentProvider(invocationId, invocation.providerName);
-    commands.move(invocation.clientId);
+    commands.move(invocation.clientId, true);
     end(invocationId, invocation, Outcome.RESET);
   }
 
@@ -294,7 +294,7 @@
     Invocation invocation = invocations.get(requestId);
     if (invocation != null && invocation.phase == Phase.ESTABLISHED) {
       counters.increment(Count.MOVED);
-      commands.move(invocation.clientId);
+      commands.move(invocation.clientId, false);
       events.runLater(() -> {
         if (invocations.get(requestId) == invocation) {
           end(requestId, invocation, Outcome.CANCELLED);
--- a/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
@@ -24,7 +24,6 @@
 public final class LineClientHandler implements Front, ClientHandler {
   private static final byte[] PONG = Lines.encode("PONG\r\n");
   private static final byte[] ERR = Lines.encode("ERR\r\n");
-  private static final byte[] MOVE = Lines.encode("MOVE\r\n");
 
   /** State of a client before its open request; the {@link OpenRequest} replaces it as the attachment. */
   private static final class PendingClient {
@@ -201,7 +200,7 @@
 
   private void relayLine(Connection client, byte[] line) {
     Connection provider = transport.get(client.peerId());
-    if (provider != null) {
+    if (provider != null && !client.relay().isMoving()) {
       counters.increment(Count.LINES_TO_PROVIDERS);
       core.onClientLine(loop.now(), client.invocationId(), client.peerId());
       transport.send(provider, line);
@@ -271,8 +270,7 @@
   }
 
   @Override
-  public void move(Connection client) {
-    transport.send(client, MOVE);
-    relayCloser.onMoved(client);
+  public void move(Connection client, boolean isProviderSilent) {
+    relayCloser.move(client, isProviderSilent);
   }
 }
--- a/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
@@ -126,8 +126,9 @@
       case MOVE -> ((ProviderSession) provider.attachment()).closingOutcome = Outcome.CANCELLED;
       default -> { }
     }
+    boolean isReplacedByMove = provider.relay().isMoving() && (kind == ProviderLine.BYE || kind == ProviderLine.MOVE);
     Connection client = transport.get(provider.peerId());
-    if (client != null) {
+    if (client != null && !isReplacedByMove) {
       counters.increment(Count.LINES_TO_CLIENTS);
       transport.send(client, line);
     }
--- a/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
+++ b/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
@@ -12,6 +12,10 @@
 
 /** Carries out the actions of a {@link Relay} that ends on the two connections of that relay. */
 final class RelayCloser {
+  private static final byte[] MOVE = Lines.encode("MOVE\r\n");
+  /** Several round trips between zones; moved clients must have their MOVE well before a process is killed. */
+  private static final long MOVE_WAIT_MICROS = 150_000;
+
   private final Transport transport;
 
   RelayCloser(Transport transport) {
@@ -24,9 +28,9 @@
     run(connection, connection.relay().onEnded(side, ending, connection.faultText()));
   }
 
-  /** The client has been sent MOVE: ends both connections. */
-  void onMoved(Connection client) {
-    run(client, client.relay().onMove());
+  /** The proxy moves the client: ends both connections, without waiting for a silent provider. */
+  void move(Connection client, boolean isProviderSilent) {
+    run(client, client.relay().onMove(isProviderSilent));
   }
 
   private void run(Connection connection, List<Action> actions) {
@@ -34,8 +38,11 @@
     long providerId = connection.role() == Role.PROVIDER ? connection.id() : connection.peerId();
     for (Action action : actions) {
       switch (action) {
-        case END_PROVIDER_OUTPUT -> with(providerId, provider -> transport.endOutput(provider,
-            () -> run(provider, provider.relay().onProviderStalled())));
+        case END_PROVIDER_OUTPUT -> with(providerId, this::endOutput);
+        case MOVE_CLIENT -> with(clientId, client -> {
+          transport.send(client, MOVE);
+          transport.finish(client);
+        });
         case FINISH_CLIENT -> with(clientId, transport::finish);
         case FINISH_PROVIDER -> with(providerId, transport::finish);
         case RESET_CLIENT -> with(clientId, transport::resetAfterWriting);
@@ -46,6 +53,11 @@
     }
   }
 
+  private void endOutput(Connection provider) {
+    Runnable onStalled = () -> run(provider, provider.relay().onProviderStalled());
+    transport.endOutput(provider, provider.relay().isMoving() ? MOVE_WAIT_MICROS : Long.MAX_VALUE, onStalled);
+  }
+
   private void with(long connectionId, Consumer<Connection> operation) {
     transport.ifPresent(connectionId, operation);
   }
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -24,11 +24,9 @@
  * of them, the other is not read.
  */
 public final class Transport {
-  private static final int MAX_HALF_CLOSED_LINGERS = 10;
-
   private final EventLoop loop;
   private final DescriptorBudget descriptorBudget;
-  private final StallTimer stallTimer;
+  private final GracefulClose gracefulClose;
   private SocketLimits limits;
   private final Consumer<Relay> relayListener;
   private final SlotTable<Connection> connections = new SlotTable<>();
@@ -46,7 +44,7 @@
       Consumer<Relay> relayListener) {
     this.relayListener = relayListener;
     this.loop = loop;
-    stallTimer = new StallTimer(loop);
+    gracefulClose = new GracefulClose(loop, this);
     this.descriptorBudget = descriptorBudget;
     this.limits = limits;
     Completions completions = new Completions(loop, connections);
@@ -71,6 +69,10 @@
     limits = newLimits;
   }
 
+  SocketLimits limits() {
+    return limits;
+  }
+
   /** Registers an accepted connection; the caller sets it up and then starts reading. */
   public Connection registerAccepted(AsynchronousSocketChannel channel, ConnectionHandler handler) {
     Connection connection = new Connection(channel, Role.PENDING_CLIENT, handler, limits.lingerMicros());
@@ -240,7 +242,7 @@
   }
 
   /** Continues to write the queue; a channel allows one write at a time. */
-  private void write(Connection connection) {
+  void write(Connection connection) {
     while (!connection.outputQueue.isEmpty() && !connection.outputQueue.peek().hasRemaining()) {
       connection.outputQueue.remove();
     }
@@ -254,10 +256,8 @@
       Runnable callback = connection.onWritten;
       connection.onWritten = null;
       callback.run();
-    } else if (connection.resetWhenWritten) {
-      resetOnceSent(connection);
-    } else if ((connection.finishing || connection.outputEnding) && !connection.outputEnded) {
-      sendFin(connection);
+    } else {
+      gracefulClose.onQueueWritten(connection);
     }
     Connection peer = connections.get(connection.peerId);
     if (peer != null && connection.queuedBytes <= limits.maxQueuedBytes()) {
@@ -265,50 +265,17 @@
     }
   }
 
-  private void sendFin(Connection connection) {
-    connection.outputEnded = true;
-    try {
-      connection.channel.shutdownOutput();
-    } catch (IOException fault) {
-      connection.fault = fault;
-      onBroken(connection);
-      return;
-    }
-    if (connection.finishing) {
-      awaitInputEnd(connection);
-    }
-  }
-
-  /** Both sending sides must have ended before a close, or it may reset the connection over unread input. */
-  private void awaitInputEnd(Connection connection) {
-    if (connection.inputEnded) {
-      closeNow(connection);
-    } else {
-      connection.timer(loop.timerWheel().arm(loop.now() + connection.lingerMicros, now -> closeNow(connection)));
-    }
-  }
-
   /**
-   * Ends the sending side only: writes the queue and sends FIN, and goes on handling input until the peer ends.
+   * Ends the sending side only: writes the queue and sends FIN, and goes on handling input until the peer ends. Lines
+   * sent from then on are ignored.
    *
-   * @param onStalled called if the peer neither ends nor sends anything for the linger time, or has not ended after
-   *     {@value #MAX_HALF_CLOSED_LINGERS} times as long
+   * @param maxWaitMicros how long the peer may take to end, at most ten times the linger time
+   * @param onStalled called if the peer has not ended by then, or has sent nothing for the linger time
    */
-  public void endOutput(Connection connection, Runnable onStalled) {
-    if (connection.finishing || connection.outputEnding || !contains(connection)) {
-      return;
+  public void endOutput(Connection connection, long maxWaitMicros, Runnable onStalled) {
+    if (!connection.finishing && !connection.outputEnding && contains(connection)) {
+      gracefulClose.endOutput(connection, maxWaitMicros, onStalled);
     }
-    connection.outputEnding = true;
-    long end = loop.now() + MAX_HALF_CLOSED_LINGERS * limits.lingerMicros();
-    stallTimer.arm(connection, limits.lingerMicros(), end, () -> halfClosedProgress(connection), onStalled);
-    write(connection);
-    read(connection);
-  }
-
-  /** A slow reader on the other side keeps this connection from being read, so its progress counts as well. */
-  private long halfClosedProgress(Connection connection) {
-    Connection peer = connections.get(connection.peerId);
-    return connection.readBytes + connection.writtenBytes + (peer == null ? 0 : peer.writtenBytes);
   }
 
   /** Closes a connection gracefully: writes the queue, sends FIN, then waits briefly for the peer to end its side. */
@@ -316,17 +283,9 @@
     if (connection.writeFailed) {
       closeNow(connection); // nothing can be written any more
     } else if (!connection.finishing && contains(connection)) {
-      connection.finishing = true;
       descriptorBudget.onFinishing(connection);
       connection.handler.onReleased(connection);
-      long timeoutMicros = 2 * limits.lingerMicros(); // for a peer that does not read
-      connection.timer(loop.timerWheel().arm(loop.now() + timeoutMicros, now -> closeNow(connection)));
-      if (connection.outputEnded) {
-        awaitInputEnd(connection);
-      } else {
-        write(connection);
-      }
-      read(connection);
+      gracefulClose.finish(connection);
     }
   }
 
@@ -356,14 +315,6 @@
     finish(connection);
   }
 
-  private void resetOnceSent(Connection connection) {
-    if (UnsupportedOptions.hasUnsentBytes(connection.channel)) {
-      loop.timerWheel().arm(loop.now() + EventLoop.TICK_MICROS, now -> write(connection));
-    } else {
-      reset(connection);
-    }
-  }
-
   /** Handles a connection that broke, could not be established, or received invalid input. */
   public void onBroken(Connection connection) {
     if (connection.finishing) {
--- a/proxy/src/main/java/amberhoist/relay/Relay.java
+++ b/proxy/src/main/java/amberhoist/relay/Relay.java
@@ -47,6 +47,8 @@
   public enum Action {
     /** Write what is queued for the provider, then send FIN; go on relaying its lines until it ends. */
     END_PROVIDER_OUTPUT,
+    /** Send the client MOVE, then FIN, and discard its input. */
+    MOVE_CLIENT,
     /** Write what is queued for the client, then send FIN, and discard its input. */
     FINISH_CLIENT,
     /** Write what is queued for the provider, then send FIN, and discard its input. */
@@ -65,6 +67,8 @@
     RELAYING,
     /** The client has ended its sending side; the provider may still write. */
     CLIENT_ENDED,
+    /** The proxy moves the client once the provider has ended or the time for that is over. */
+    MOVING,
     ENDED
   }
 
@@ -94,6 +98,9 @@
     if (before == State.ENDED) {
       return List.of();
     }
+    if (side == Side.CLIENT && ending == Ending.FIN && before == State.MOVING) {
+      return List.of();
+    }
     if (side == Side.CLIENT && ending == Ending.FIN) {
       state = State.CLIENT_ENDED;
       return List.of(Action.END_PROVIDER_OUTPUT);
@@ -103,24 +110,41 @@
       // a provider that was sent FIN is not reset afterwards: its client ended in order
       return List.of(before == State.RELAYING ? Action.RESET_PROVIDER : Action.FINISH_PROVIDER, Action.CLOSE_CLIENT);
     }
+    if (before == State.MOVING) {
+      return List.of(Action.MOVE_CLIENT, Action.FINISH_PROVIDER);
+    }
     return ending == Ending.FIN ? List.of(Action.FINISH_CLIENT, Action.FINISH_PROVIDER)
         : List.of(Action.RESET_CLIENT, Action.CLOSE_PROVIDER);
   }
 
-  /** The provider has not ended its connection in time after the end of the client's sending side. */
+  /** The provider has not ended its connection in time after its input was ended. */
   public List<Action> onProviderStalled() {
-    if (state != State.CLIENT_ENDED) {
-      return List.of();
-    }
+    State before = state;
     state = State.ENDED;
-    return List.of(Action.FINISH_CLIENT, Action.CLOSE_PROVIDER);
+    return switch (before) {
+      case CLIENT_ENDED -> List.of(Action.FINISH_CLIENT, Action.CLOSE_PROVIDER);
+      case MOVING -> List.of(Action.MOVE_CLIENT, Action.FINISH_PROVIDER);
+      default -> List.of();
+    };
   }
 
-  /** The proxy moves the client, which is sent MOVE first. */
-  public List<Action> onMove() {
+  /**
+   * The proxy moves the client. Lines that the provider has written by then come before MOVE; a silent provider is not
+   * waited for.
+   */
+  public List<Action> onMove(boolean isProviderSilent) {
     recordEnd(End.MOVE, "");
-    state = State.ENDED;
-    return List.of(Action.FINISH_PROVIDER, Action.FINISH_CLIENT);
+    if (state != State.RELAYING) {
+      return List.of();
+    }
+    state = isProviderSilent ? State.ENDED : State.MOVING;
+    return isProviderSilent ? List.of(Action.MOVE_CLIENT, Action.FINISH_PROVIDER)
+        : List.of(Action.END_PROVIDER_OUTPUT);
+  }
+
+  /** Whether the client is to be sent MOVE, which takes the place of a closing line of the provider. */
+  public boolean isMoving() {
+    return state == State.MOVING;
   }
 
   private static End endOf(Side side, Ending ending) {
--- a/proxy/src/test/java/amberhoist/core/EventOrderTest.java
+++ b/proxy/src/test/java/amberhoist/core/EventOrderTest.java
@@ -62,7 +62,7 @@
     }
 
     @Override
-    public void move(long client) {
+    public void move(long client, boolean isProviderSilent) {
       commandLog.add("move " + client);
     }
 
--- a/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
@@ -111,6 +111,40 @@
     }
   }
 
+  @Test
+  public void moveComesAfterTheLinesThatTheProviderHasWritten() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      Peer[] ends = peers.establish("k", 0);
+      Thread stop = new Thread(peers.service::stop);
+      stop.start();
+      int sent = 0;
+      while (peers.service.count(Count.MOVED) == 0) {
+        ends[1].send("x\r\n");
+        sent++;
+      }
+      ends[1].send("under way\r\nBYE\r\n").socket.shutdownOutput();
+      for (int i = 0; i < sent; i++) {
+        assertEquals("line " + i + " of " + sent, "x", ends[0].readLine());
+      }
+      assertReads(ends[0], "under way", "MOVE", "FIN");
+      stop.join();
+    }
+  }
+
+  @Test
+  public void moveDoesNotWaitForAProviderThatNeverEnds() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      Peer[] ends = peers.establish("k", 0);
+      Thread stop = new Thread(peers.service::stop);
+      stop.start();
+      assertReads(ends[1], "FIN");
+      ends[0].send("too late\r\n");
+      assertReads(ends[0], "MOVE", "FIN");
+      stop.join();
+      assertReads(ends[1], "FIN");
+    }
+  }
+
   /** Sends lines to a peer that reads nothing until the proxy has stopped reading them; returns their number. */
   private static int fillUp(StubPeers peers, Peer from, Count relayed) throws Exception {
     int sent = 0;
