Let a slow reader take the lines that are queued for it or still unread at an end

What callers saw: a client that reads slowly misses the provider's last lines, which it would have taken.

Cause: three time limits took a slow reader for a dead one. Writing the queue of a connection that is being ended was cut off after 2 s, however it went on; after a failed write the input was given up after 0.5 s, also while back-pressure kept it from being read; the same held for a half-closed relay after 1 s.

Evidence: 1008 of 3000 lines where the provider ends in order, 1008 of 1014 where a client's line crosses its close.

Change: the limits count from the last progress: ten times the linger time (10 s) for writing a queue, and while one side is blocked by the reader of the other, the wait for its end is not counted, up to the same 10 s. The system's buffer takes seconds to empty, so that shorter steps see no progress of a reader that reads steadily. A stop ends all of them as before.

--- a/proxy/src/main/java/amberhoist/net/GracefulClose.java
+++ b/proxy/src/main/java/amberhoist/net/GracefulClose.java
@@ -28,8 +28,8 @@
     if (connection.outputEnded) {
       awaitInputEnd(connection);
     } else {
-      connection.timer(
-          loop.timerWheel().arm(loop.now() + 2 * transport.limits().lingerMicros(), now -> transport.closeNow(connection)));
+      stallTimer.arm(connection, maxWaitMicros(), Long.MAX_VALUE, () -> connection.writtenBytes,
+          () -> transport.closeNow(connection));
       transport.write(connection);
     }
     transport.read(connection);
@@ -44,10 +44,16 @@
     transport.read(connection);
   }
 
-  /** A slow reader on the other side keeps this connection from being read, so its progress counts as well. */
+  /** A write has failed: calls {@code onStalled} if the end of the input does not follow soon. */
+  void awaitEndAfterFailedWrite(Connection connection, Runnable onStalled) {
+    stallTimer.arm(connection, transport.limits().lingerMicros() / 2, loop.now() + maxWaitMicros(),
+        () -> transport.hasBackpressure(connection) ? loop.now() : connection.readBytes, onStalled);
+  }
+
+  /** While a slow reader on either side prevents FIN or reading, time itself counts as progress: nobody is stalled. */
   private long halfClosedProgress(Connection connection) {
-    Connection peer = transport.get(connection.peerId);
-    return connection.readBytes + connection.writtenBytes + (peer == null ? 0 : peer.writtenBytes);
+    boolean isBlocked = !connection.outputEnded || transport.hasBackpressure(connection);
+    return isBlocked ? loop.now() : connection.readBytes;
   }
 
   /** The queue of a connection has been written: sends FIN or a reset if the connection is being ended. */
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -181,16 +181,21 @@
 
   /** Starts a read unless one is in progress, input is no longer wanted, or the peer's queue exerts backpressure. */
   public void read(Connection connection) {
-    Connection peer = connections.get(connection.peerId);
-    boolean backpressure = connection.relaying() && !connection.finishing
-        && peer != null && peer.queuedBytes > limits.maxQueuedBytes();
     boolean inputWanted = connection.discardedBytes <= limits.maxDiscardedBytes();
-    if (!connection.reading && !connection.inputEnded && !backpressure && inputWanted && contains(connection)) {
+    if (!connection.reading && !connection.inputEnded && inputWanted
+        && !hasBackpressure(connection) && contains(connection)) {
       connection.reading = true;
       connection.channel.read(connection.inputBuffer, connection.id, readHandler);
     }
   }
 
+  /** Whether a connection is not read because too many bytes wait to be written to its peer. */
+  boolean hasBackpressure(Connection connection) {
+    Connection peer = connections.get(connection.peerId);
+    return connection.relaying() && !connection.finishing && peer != null
+        && peer.queuedBytes > limits.maxQueuedBytes();
+  }
+
   private void onRead(Connection connection, int bytes) {
     if (bytes < 0) {
       connection.inputEnded = true;
@@ -337,8 +342,7 @@
     addUndelivered(connection, connection.side(), connection.queuedBytes);
     connection.outputQueue.clear();
     connection.queuedBytes = 0;
-    // the timer ends the connection even if backpressure prevents reading
-    connection.timer(loop.timerWheel().arm(loop.now() + limits.lingerMicros() / 2, now -> onBroken(connection)));
+    gracefulClose.awaitEndAfterFailedWrite(connection, () -> onBroken(connection));
     read(connection);
     ifPresent(connection.peerId, this::read); // the queue is empty, so backpressure ends
   }
--- a/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
@@ -5,10 +5,12 @@
 
 import amberhoist.metrics.Counters.Count;
 import amberhoist.service.StubPeers.Peer;
+import java.util.concurrent.CountDownLatch;
 import org.junit.Test;
 
 /** What each side of an established connection is owed when one of them ends it, over loopback sockets. */
 public class ConnectionEndScenarioTest {
+  private static final int MORE_LINES_THAN_SOCKETS_HOLD = 3000; // of the next length, a few hundred fill a socket
   private static final String LONG_LINE = "y".repeat(4000);
 
   private static void assertReads(Peer peer, String... lines) throws Exception {
@@ -175,6 +177,52 @@
     }
   }
 
+  /** Waits for three times the linger time of these tests on the proxy's own clock. */
+  private static void awaitLingerTimes(StubPeers peers) throws Exception {
+    CountDownLatch passed = new CountDownLatch(1);
+    peers.service.loop().post(() -> peers.service.loop().timerWheel()
+        .arm(peers.service.loop().now() + 300_000, now -> passed.countDown()));
+    passed.await();
+  }
+
+  @Test
+  public void slowReaderGetsAllLinesWhateverEndsTheOtherSide() throws Exception {
+    for (String end : new String[] {"FIN, lines in the queue", "FIN", "close", "crossing line", "client FIN"}) {
+      boolean isQueued = end.startsWith("FIN,");
+      try (StubPeers peers = new StubPeers(1, 1024, "[sockets]\nlinger = \"100ms\"\nqueue = \""
+          + (isQueued ? "16MiB" : "16KiB") + "\"\n")) {
+        Peer[] ends = peers.establish("k", 0);
+        int lines = isQueued ? MORE_LINES_THAN_SOCKETS_HOLD : fillUp(peers, ends[1], Count.LINES_TO_CLIENTS);
+        switch (end) {
+          case "FIN, lines in the queue" -> {
+            for (int i = 0; i < lines; i++) {
+              ends[1].send(LONG_LINE + "\r\n");
+            }
+            ends[1].socket.shutdownOutput();
+            assertReads(ends[1], "FIN");
+          }
+          case "FIN" -> ends[1].socket.shutdownOutput();
+          case "close" -> ends[1].socket.close();
+          case "crossing line" -> {
+            ends[1].socket.close();
+            ends[0].send("crossing\r\n".repeat(10));
+            DirectoryScenarioTest.awaitCount(peers, Count.LINES_TO_PROVIDERS, 10);
+          }
+          default -> {
+            ends[0].socket.shutdownOutput();
+            assertReads(ends[1], "FIN");
+            ends[1].socket.shutdownOutput();
+          }
+        }
+        awaitLingerTimes(peers);
+        for (int i = 0; i < lines; i++) {
+          assertEquals(end + ", line " + i + " of " + lines, LONG_LINE, ends[0].readLine());
+        }
+        assertReads(ends[0], "FIN");
+      }
+    }
+  }
+
   @Test
   public void clientThatEndsItsSendingSideBeforeUpGetsOneFinalAnswer() throws Exception {
     try (StubPeers peers = new StubPeers(1)) {
