--- a/proxy/src/main/java/amberhoist/config/OperatorConfig.java
+++ b/proxy/src/main/java/amberhoist/config/OperatorConfig.java
@@ -6,7 +6,7 @@
 import amberhoist.front.line.LineLimits;
 import amberhoist.log.LogSettings;
 import amberhoist.net.SocketLimits;
-import amberhoist.net.WatchTiming;
+import amberhoist.net.watch.WatchTiming;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/proxy/src/main/java/amberhoist/net/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/watch/DirectoryWatch.java
@@ -1,4 +1,4 @@
-package amberhoist.net;
+package amberhoist.net.watch;
 
 import amberhoist.core.Core;
 import amberhoist.core.SlotTable;
@@ -10,6 +10,7 @@
 import amberhoist.directory.WatchSuccession;
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
+import amberhoist.net.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
--- a/proxy/src/main/java/amberhoist/net/WatchTiming.java
+++ b/proxy/src/main/java/amberhoist/net/watch/WatchTiming.java
@@ -1,4 +1,4 @@
-package amberhoist.net;
+package amberhoist.net.watch;
 
 /**
  * Timeouts and pauses of the directory watch, in microseconds; the operator's file may set them.
--- a/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
+++ b/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
@@ -8,7 +8,7 @@
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
-import amberhoist.net.DirectoryWatch;
+import amberhoist.net.watch.DirectoryWatch;
 import amberhoist.relay.Relay;
 import java.net.InetSocketAddress;
 import java.util.Locale;
--- a/proxy/src/test/java/amberhoist/service/EventOrderScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/EventOrderScenarioTest.java
@@ -6,7 +6,7 @@
 import static org.junit.Assert.assertTrue;
 
 import amberhoist.metrics.Counters.Count;
-import amberhoist.net.WatchTiming;
+import amberhoist.net.watch.WatchTiming;
 import amberhoist.service.StubPeers.Peer;
 import java.io.IOException;
 import java.net.InetAddress;
