Begin the moves of a stop early enough that the last MOVE goes out by its end

MOVE waits up to 150 ms for lines under way, the last MOVE of a stop came as the listener closed, 150 ms later than before; DirectoryScenarioTest.stopMovesClientsAnswersTheOthersAndEndsInTime then failed once of four runs (ClosedChannelException where it connects after that MOVE).

Change: the moves of a stop are spread over a time that ends 150 ms earlier; answers to open requests keep their time.

--- a/proxy/src/main/java/amberhoist/core/Commands.java
+++ b/proxy/src/main/java/amberhoist/core/Commands.java
@@ -23,6 +23,9 @@
   /** Answers a client that its invocation has failed and closes. */
   void fail(long clientId);
 
+  /** The maximum time in microseconds that a move waits for lines under way: several round trips between zones. */
+  long MAX_MOVE_WAIT_MICROS = 150_000;
+
   /** Sends a client MOVE, between two lines, and closes; lines under way from a provider that is not silent come first. */
   void move(long clientId, boolean isProviderSilent);
 
--- a/proxy/src/main/java/amberhoist/core/GracefulStop.java
+++ b/proxy/src/main/java/amberhoist/core/GracefulStop.java
@@ -64,9 +64,10 @@
       List<Long> unanswered = new ArrayList<>();
       invocations.forEach(id -> (invocations.get(id).phase == Phase.ESTABLISHED ? established : unanswered).add(id));
       boolean isLast = events.now() + MOVE_INTERVAL_MICROS >= end;
-      long steps = Math.max(1, (end - events.now()) / MOVE_INTERVAL_MICROS);
-      dueMoves += (double) established.size() / steps;
-      long moves = isLast ? established.size() : (long) dueMoves;
+      long moveEnd = end - Commands.MAX_MOVE_WAIT_MICROS; // the last MOVE is then sent by the end
+      long steps = (moveEnd - events.now()) / MOVE_INTERVAL_MICROS;
+      dueMoves += (double) established.size() / Math.max(1, steps);
+      long moves = steps <= 1 ? established.size() : (long) dueMoves;
       dueMoves -= moves;
       established.stream().limit(moves).forEach(moveInvocation::accept);
       if (isLast) {
--- a/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
+++ b/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
@@ -1,5 +1,6 @@
 package amberhoist.front.line;
 
+import amberhoist.core.Commands;
 import amberhoist.net.Connection;
 import amberhoist.net.Connection.Role;
 import amberhoist.net.Transport;
@@ -13,8 +14,6 @@
 /** Carries out the actions of a {@link Relay} that ends on the two connections of that relay. */
 final class RelayCloser {
   private static final byte[] MOVE = Lines.encode("MOVE\r\n");
-  /** Several round trips between zones; moved clients must have their MOVE well before a process is killed. */
-  private static final long MOVE_WAIT_MICROS = 150_000;
 
   private final Transport transport;
 
@@ -55,7 +54,7 @@
 
   private void endOutput(Connection provider) {
     Runnable onStalled = () -> run(provider, provider.relay().onProviderStalled());
-    transport.endOutput(provider, provider.relay().isMoving() ? MOVE_WAIT_MICROS : Long.MAX_VALUE, onStalled);
+    transport.endOutput(provider, provider.relay().isMoving() ? Commands.MAX_MOVE_WAIT_MICROS : Long.MAX_VALUE, onStalled);
   }
 
   private void with(long connectionId, Consumer<Connection> operation) {
