Evict clients whose lines are still queued last when descriptors run short

What callers saw: with idle clients filling the descriptors, a client whose provider had ended lost the lines queued for it.

Cause: DescriptorBudget evicted the oldest connection that was being ended first, whether or not its queue had been written, and before clients that had sent nothing.

Change: first the oldest to which everything is written, then the client that has been idle longest, and only then one with a queue.

Measured: crowdOfIdleClientsEvictsNobodyWhoseLinesAreStillQueued fails without it.

--- a/proxy/src/main/java/amberhoist/net/DescriptorBudget.java
+++ b/proxy/src/main/java/amberhoist/net/DescriptorBudget.java
@@ -9,7 +9,8 @@
  * Tracks which connections hold file descriptors and evicts some when descriptors run short, so that clients that stay
  * idle or never close do not take the descriptors that other clients need. From its open request on, a client counts
  * twice, since it will need a provider connection as well. Only connections that are owed no answer are evicted: first
- * the oldest of those already answered, then the client that has been idle longest before its open request.
+ * the oldest of those to which everything is written, then the client that has been idle longest before its open
+ * request, and last the oldest for which bytes are still queued.
  */
 public final class DescriptorBudget {
   private static final int SPARE_DESCRIPTORS = 16;
@@ -101,10 +102,19 @@
 
   private void evictUnserved(int maxUnserved) {
     while (pendingClients.size() + finishing.size() > maxUnserved) {
-      evict.accept((finishing.isEmpty() ? pendingClients : finishing).iterator().next());
+      evict.accept(nextEvicted());
     }
   }
 
+  private Connection nextEvicted() {
+    for (Connection connection : finishing) {
+      if (connection.queuedBytes == 0) {
+        return connection;
+      }
+    }
+    return (pendingClients.isEmpty() ? finishing : pendingClients).iterator().next();
+  }
+
   /** Whether the connections being served alone need more descriptors than the limit allows. */
   public boolean isExceeded() {
     return descriptorsServed() > maxDescriptors;
--- a/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
@@ -223,6 +223,27 @@
     }
   }
 
+  @Test
+  public void crowdOfIdleClientsEvictsNobodyWhoseLinesAreStillQueued() throws Exception {
+    try (StubPeers peers = new StubPeers(1, 24 + 24, "[sockets]\nqueue = \"16MiB\"\n")) {
+      Peer[] ends = peers.establish("k", 0);
+      for (int i = 0; i < MORE_LINES_THAN_SOCKETS_HOLD; i++) {
+        ends[1].send(LONG_LINE + "\r\n");
+      }
+      ends[1].socket.shutdownOutput();
+      assertReads(ends[1], "FIN");
+      Peer firstIdle = peers.connectClient("");
+      for (int i = 0; i < 40; i++) {
+        peers.connectClient("");
+      }
+      assertReads(firstIdle, "BUSY 500");
+      for (int i = 0; i < MORE_LINES_THAN_SOCKETS_HOLD; i++) {
+        assertEquals("line " + i, LONG_LINE, ends[0].readLine());
+      }
+      assertReads(ends[0], "FIN");
+    }
+  }
+
   @Test
   public void clientThatEndsItsSendingSideBeforeUpGetsOneFinalAnswer() throws Exception {
     try (StubPeers peers = new StubPeers(1)) {
