--- a/lab/src/main/java/amberhoist/lab/LabCommand.java
+++ b/lab/src/main/java/amberhoist/lab/LabCommand.java
@@ -3,6 +3,7 @@
 import amberhoist.directory.Address;
 import amberhoist.lab.Demo.DemoResult;
 import amberhoist.lab.experiment.ExperimentFile;
+import amberhoist.lab.soak.SoakCommand;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -18,7 +19,7 @@
 /** The {@code lab} command with its subcommands. */
 @Command(name = "lab", description = "Stubs, simulations and measurements for testing a proxy.",
     subcommands = {RunCommand.class, MutantsCommand.class, GroupCommand.class, ScaleCommand.class, SlopeCommand.class,
-        FuzzCommand.class})
+        FuzzCommand.class, SoakCommand.class})
 final class LabCommand implements Runnable {
   @Spec
   private CommandSpec spec;
@@ -26,7 +27,8 @@
   @Override
   public void run() {
     throw new ParameterException(spec.commandLine(),
-        "missing subcommand, one of: run, mutants, fuzz, group, scale, slope, reference, try, stand-in, client, flood");
+        "missing subcommand, one of: run, mutants, fuzz, soak, group, scale, slope, reference, try, stand-in, client, "
+            + "flood");
   }
 
   /** Runs the demo: a proxy with stub peers in one process. */
--- a/lab/src/main/java/amberhoist/lab/StubProvider.java
+++ b/lab/src/main/java/amberhoist/lab/StubProvider.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.util.function.Consumer;
 
 /** A stub provider that answers UP to each open request and echoes all other lines. */
@@ -28,7 +29,7 @@
   }
 
   @Override
-  void handleConnection(BufferedReader in, OutputStream out) throws IOException {
+  protected void handleConnection(Socket socket, BufferedReader in, OutputStream out) throws IOException {
     String line = in.readLine();
     if (line == null) {
       return;
--- a/lab/src/main/java/amberhoist/lab/StubServer.java
+++ b/lab/src/main/java/amberhoist/lab/StubServer.java
@@ -12,17 +12,17 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** A stub server on loopback with one thread per connection, for a small number of peers. */
-abstract class StubServer implements AutoCloseable {
+public abstract class StubServer implements AutoCloseable {
   private final ServerSocket server;
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
   /** Listens on this loopback port, or on any free one if it is 0. Accepts only after {@link #acceptConnections}. */
-  StubServer(int port) throws IOException {
-    server = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
+  protected StubServer(int port) throws IOException {
+    server = new ServerSocket(port, 512, InetAddress.getLoopbackAddress());
   }
 
   /** Starts to accept connections. Each subclass calls it once, at the end of its constructor. */
-  final void acceptConnections(String name) {
+  protected final void acceptConnections(String name) {
     startDaemon(name, () -> {
       while (!server.isClosed()) {
         try {
@@ -47,7 +47,7 @@
       socket.setTcpNoDelay(true);
       BufferedReader in = new BufferedReader(
           new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-      handleConnection(in, socket.getOutputStream());
+      handleConnection(socket, in, socket.getOutputStream());
     } catch (IOException | InterruptedException ended) {
       // the peer closed the connection, or the server was closed
     } finally {
@@ -55,16 +55,18 @@
     }
   }
 
-  /** Handles one connection until either side closes it. */
-  abstract void handleConnection(BufferedReader in, OutputStream out) throws IOException, InterruptedException;
+  /** Handles one connection until either side closes it; the socket is closed afterwards. */
+  protected abstract void handleConnection(Socket socket, BufferedReader in, OutputStream out)
+      throws IOException, InterruptedException;
 
-  static void send(OutputStream out, String text) throws IOException {
+  /** Writes text at once. */
+  protected static void send(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.ISO_8859_1));
     out.flush();
   }
 
   /** The address that it listens on, as {@code host:port}. */
-  final String address() {
+  public final String address() {
     return "127.0.0.1:" + server.getLocalPort();
   }
 
--- a/proxy/src/main/java/amberhoist/core/Commands.java
+++ b/proxy/src/main/java/amberhoist/core/Commands.java
@@ -26,7 +26,9 @@
   /** The maximum time in microseconds that a move waits for lines under way: several round trips between zones. */
   long MAX_MOVE_WAIT_MICROS = 150_000;
 
-  /** Sends a client MOVE, between two lines, and closes; lines under way from a provider that is not silent come first. */
+  /**
+   * Sends a client MOVE, between two lines, and closes. Lines under way from a provider that is not silent come first.
+   */
   void move(long clientId, boolean isProviderSilent);
 
   /** Makes sure that the directory is watched. */
--- a/proxy/src/main/java/amberhoist/front/ClientHandler.java
+++ b/proxy/src/main/java/amberhoist/front/ClientHandler.java
@@ -12,8 +12,8 @@
   void fail(Connection client);
 
   /**
-   * Sends the client a request to move, between two lines, and closes both its connection and the provider's. Lines that
-   * the provider has written come before it, unless the provider is silent.
+   * Sends the client a request to move, between two lines, and closes both its connection and the provider's. Lines
+   * that the provider has written come before it, unless the provider is silent.
    */
   void move(Connection client, boolean isProviderSilent);
 }
--- a/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
+++ b/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
@@ -54,7 +54,8 @@
 
   private void endOutput(Connection provider) {
     Runnable onStalled = () -> run(provider, provider.relay().onProviderStalled());
-    transport.endOutput(provider, provider.relay().isMoving() ? Commands.MAX_MOVE_WAIT_MICROS : Long.MAX_VALUE, onStalled);
+    long maxWaitMicros = provider.relay().isMoving() ? Commands.MAX_MOVE_WAIT_MICROS : Long.MAX_VALUE;
+    transport.endOutput(provider, maxWaitMicros, onStalled);
   }
 
   private void with(long connectionId, Consumer<Connection> operation) {
--- a/proxy/src/main/java/amberhoist/net/option/UnsupportedOptions.java
+++ b/proxy/src/main/java/amberhoist/net/option/UnsupportedOptions.java
@@ -68,8 +68,8 @@
 
   /**
    * Whether the system holds written bytes that it has not sent yet, because the peer or the network is slow; a reset
-   * would discard them. With a low-water mark of one byte for unsent data, a socket is writable only once there is none.
-   * False where this cannot be told.
+   * would discard them. With a low-water mark of one byte for unsent data, a socket is writable only once there is
+   * none. False where this cannot be told.
    */
   public static boolean hasUnsentBytes(AsynchronousSocketChannel channel) {
     if (SET_SOCKET_OPTION == null || !channel.isOpen()) {
--- a/proxy/src/test/java/amberhoist/cli/ConnectionEndProcessTest.java
+++ b/proxy/src/test/java/amberhoist/cli/ConnectionEndProcessTest.java
@@ -41,7 +41,8 @@
   void establishConnection() throws Exception {
     int providerPort = harness.startListener((socket, in) -> providerEnds.add(socket));
     String list = "{\"index\":1,\"snapshot\":true,\"endpoints\":[{\"name\":\"p0\",\"address\":\"127.0.0.1:"
-        + providerPort + "\",\"zone\":\"here\",\"type\":\"m\",\"group\":0,\"status\":\"active\",\"weight\":1.0,\"since_ms\":0}]}";
+        + providerPort + "\",\"zone\":\"here\",\"type\":\"m\",\"group\":0,\"status\":\"active\",\"weight\":1.0,"
+        + "\"since_ms\":0}]}";
     int directory = harness.startDirectory((socket, in) -> ProxyProcessHarness.write(socket,
         ProxyProcessHarness.httpChunk(list)));
     String config = Files.readString(Path.of("../example/config.json"))
--- a/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
@@ -244,6 +244,25 @@
     }
   }
 
+  @Test
+  public void clientWhoseProviderEndsWithinItsAnswerGetsAFinalAnswer() throws Exception {
+    for (boolean reset : new boolean[] {false, true}) {
+      try (StubPeers peers = new StubPeers(1)) {
+        Peer client = peers.connectClient(openRequest("k", 700, ""));
+        Peer provider = peers.acceptAtProvider(0);
+        provider.readLine();
+        provider.send("UP half an answer");
+        if (reset) {
+          provider.reset();
+        } else {
+          provider.socket.close();
+        }
+        assertEquals("BUSY", client.readLine().replaceFirst(" .*", ""));
+        assertReads(client, "FIN");
+      }
+    }
+  }
+
   @Test
   public void clientThatEndsItsSendingSideBeforeUpGetsOneFinalAnswer() throws Exception {
     try (StubPeers peers = new StubPeers(1)) {
