Do not take a provider for silent while its client reads too slowly for its lines

What callers saw: a client that reads slowly and asks a question is sent MOVE in the middle of its lines; the unread rest is lost.

Cause: back-pressure keeps the provider from being read, and SilenceDetector counted that time as the provider's silence; together with a second unanswered line it would have moved all clients of a sound provider.

Evidence: found in review of what ends a relay; line 1013 of 1014 is MOVE with silence.alone = 100 ms.

Change: a connection that is held back shows nothing of its provider; its wait begins anew when it is looked at again.

Measured: slowReaderIsNotTakenForASilentProvider fails without it, and holds that another connection still finds the silence.

--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -349,6 +349,11 @@
     }
   }
 
+  @Override
+  public boolean isHeldBack(long connectionId) {
+    return false; // emulated clients read at once
+  }
+
   @Override
   public void move(long clientId, boolean isProviderSilent) {
     ClientSession session = sessions.remove(clientId);
--- a/proxy/src/main/java/amberhoist/core/Commands.java
+++ b/proxy/src/main/java/amberhoist/core/Commands.java
@@ -31,6 +31,9 @@
    */
   void move(long clientId, boolean isProviderSilent);
 
+  /** Whether lines of this provider connection are left unread because its client reads too slowly. */
+  boolean isHeldBack(long connectionId);
+
   /** Makes sure that the directory is watched. */
   void watchDirectory();
 
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -60,7 +60,7 @@
     deadlineExpiry = new DeadlineExpiry(invocations, events, attempts, answers, balancer, counters);
     handoverRetries = new HandoverRetries(invocations, wheel, events, answers, attempts,
         () -> this.limits.connectTimeoutMicros());
-    silenceDetector = new SilenceDetector(invocations, wheel, events, timing, this::onSilent);
+    silenceDetector = new SilenceDetector(invocations, wheel, events, commands, timing, this::onSilent);
     gracefulStop = new GracefulStop(invocations, wheel, events, this::move,
         pending -> deadlineExpiry.onStop(pending, this.timing.stopRetryAfterMicros()));
   }
--- a/proxy/src/main/java/amberhoist/core/ProviderLiveness.java
+++ b/proxy/src/main/java/amberhoist/core/ProviderLiveness.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.LongPredicate;
 
 /**
  * Tracks whether one provider still returns lines, over all its established connections. When a whole machine has
@@ -38,9 +39,12 @@
   /**
    * Whether several connections wait for a line and none has had one within the timeout. A healthy provider returns
    * lines within 50 ms at any load; ten times that on several connections is conclusive even after a stall here.
+   *
+   * @param isHeldBack whether the lines of an invocation are not read now, so that its wait shows nothing
    */
-  boolean isSilent(long now, long timeoutMicros) {
-    return unansweredIds.size() >= MIN_SILENT_CONNECTIONS && now - lastLineAt >= timeoutMicros;
+  boolean isSilent(long now, long timeoutMicros, LongPredicate isHeldBack) {
+    return now - lastLineAt >= timeoutMicros
+        && unansweredIds.stream().filter(id -> !isHeldBack.test(id)).count() >= MIN_SILENT_CONNECTIONS;
   }
 
   /** A copy of the ids of the invocations established with the provider. */
--- a/proxy/src/main/java/amberhoist/core/SilenceDetector.java
+++ b/proxy/src/main/java/amberhoist/core/SilenceDetector.java
@@ -15,13 +15,15 @@
   private final SlotTable<Invocation> invocations;
   private final TimerWheel wheel;
   private final EventQueue events;
+  private final Commands commands;
   private final ObjLongConsumer<Invocation> onSilent;
   private final Map<String, ProviderLiveness> livenessByProvider = new HashMap<>();
   private Timing timing;
 
   /** Creates a detector that calls {@code onSilent} with each invocation at a silent provider, and its id. */
-  SilenceDetector(SlotTable<Invocation> invocations, TimerWheel wheel, EventQueue events, Timing timing,
-      ObjLongConsumer<Invocation> onSilent) {
+  SilenceDetector(SlotTable<Invocation> invocations, TimerWheel wheel, EventQueue events, Commands commands,
+      Timing timing, ObjLongConsumer<Invocation> onSilent) {
+    this.commands = commands;
     this.invocations = invocations;
     this.wheel = wheel;
     this.events = events;
@@ -65,6 +67,10 @@
     }
   }
 
+  private boolean isHeldBack(long invocationId) {
+    return commands.isHeldBack(invocations.get(invocationId).connectionId);
+  }
+
   private void armTimer(long invocationId, Invocation invocation, long dueAt) {
     Invocation.cancel(invocation.silenceTimer);
     invocation.silenceTimer = wheel.arm(dueAt, at -> events.run(at, () -> check(invocationId, invocation, dueAt)));
@@ -76,10 +82,11 @@
       return;
     }
     long now = events.now();
-    if (now - dueAt > STALL_MICROS) {
-      invocation.unansweredSince = now; // this process stalled: lines received meanwhile are still to be read
+    if (now - dueAt > STALL_MICROS || isHeldBack(invocationId)) {
+      // this process stalled, or the client reads too slowly: lines that have come may still be unread
+      invocation.unansweredSince = now;
       armTimer(invocationId, invocation, now + timing.silenceTimeoutMicros());
-    } else if (invocation.liveness.isSilent(now, timing.sharedSilenceTimeoutMicros())) {
+    } else if (invocation.liveness.isSilent(now, timing.sharedSilenceTimeoutMicros(), this::isHeldBack)) {
       invocation.liveness.invocationIds().forEach(id -> onSilent.accept(invocations.get(id), id));
     } else if (now - invocation.unansweredSince >= timing.silenceTimeoutMicros()) {
       onSilent.accept(invocation, invocationId);
--- a/proxy/src/main/java/amberhoist/front/CommandDispatcher.java
+++ b/proxy/src/main/java/amberhoist/front/CommandDispatcher.java
@@ -67,6 +67,12 @@
     onClient(clientId, (handler, client) -> handler.move(client, isProviderSilent));
   }
 
+  @Override
+  public boolean isHeldBack(long connectionId) {
+    Connection provider = transport.get(connectionId);
+    return provider != null && transport.hasBackpressure(provider);
+  }
+
   @Override
   public void requestLoadReport(String provider) {
     providerHandler.requestLoadReport(provider);
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -190,7 +190,7 @@
   }
 
   /** Whether a connection is not read because too many bytes wait to be written to its peer. */
-  boolean hasBackpressure(Connection connection) {
+  public boolean hasBackpressure(Connection connection) {
     Connection peer = connections.get(connection.peerId);
     return connection.relaying() && !connection.finishing && peer != null
         && peer.queuedBytes > limits.maxQueuedBytes();
--- a/proxy/src/test/java/amberhoist/core/EventOrderTest.java
+++ b/proxy/src/test/java/amberhoist/core/EventOrderTest.java
@@ -61,6 +61,11 @@
       commandLog.add("fail " + client);
     }
 
+    @Override
+    public boolean isHeldBack(long connection) {
+      return false;
+    }
+
     @Override
     public void move(long client, boolean isProviderSilent) {
       commandLog.add("move " + client);
--- a/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ConnectionEndScenarioTest.java
@@ -244,6 +244,27 @@
     }
   }
 
+  @Test
+  public void slowReaderIsNotTakenForASilentProvider() throws Exception {
+    String shortSilence = "[silence]\nalone = \"100ms\"\ntogether = \"50ms\"\n";
+    try (StubPeers peers = new StubPeers(1, 1024, shortSilence + "[sockets]\nlinger = \"100ms\"\n")) {
+      Peer[] slow = peers.establish("a", 0);
+      Peer[] other = peers.establish("b", 0);
+      int lines = fillUp(peers, slow[1], Count.LINES_TO_CLIENTS);
+      slow[0].send("question\r\n");
+      assertReads(slow[1], "question");
+      awaitLingerTimes(peers);
+      for (int i = 0; i < lines; i++) {
+        assertEquals("line " + i + " of " + lines, LONG_LINE, slow[0].readLine());
+      }
+      slow[1].send("answer\r\n");
+      assertReads(slow[0], "answer");
+      other[0].send("question\r\n");
+      assertReads(other[0], "MOVE", "FIN"); // this provider does not answer it
+      assertEquals(1, peers.service.count(Count.SILENT));
+    }
+  }
+
   @Test
   public void clientWhoseProviderEndsWithinItsAnswerGetsAFinalAnswer() throws Exception {
     for (boolean reset : new boolean[] {false, true}) {
