End a stop only after the clients moved last have been sent MOVE

What callers saw: a client that connects after the last MOVE of a stop is reset instead of told BUSY.

Cause: since MOVE may wait 150 ms for lines under way, no invocation is left 150 ms before the last MOVE, and the stop went on to close the listener, 150 ms later.

Change: the stop ends no sooner than the wait of its last move is over.

--- a/proxy/src/main/java/amberhoist/core/GracefulStop.java
+++ b/proxy/src/main/java/amberhoist/core/GracefulStop.java
@@ -26,6 +26,7 @@
   private final Consumer<List<Long>> rejectUnanswered;
   private boolean rejecting;
   private Runnable onStopped;
+  private long movesEnd; // when the clients moved last have been sent MOVE, whatever their providers do
   private double dueMoves; // the fraction of a move carried over to the next step
 
   /** Creates a stop; {@code rejectUnanswered} receives the invocations that have no answer at its end. */
@@ -70,11 +71,12 @@
       long moves = steps <= 1 ? established.size() : (long) dueMoves;
       dueMoves -= moves;
       established.stream().limit(moves).forEach(moveInvocation::accept);
+      movesEnd = moves == 0 ? movesEnd : events.now() + Commands.MAX_MOVE_WAIT_MICROS;
       if (isLast) {
         rejectUnanswered.accept(unanswered);
       }
     });
-    if (invocations.size() == 0 && time >= minEnd) {
+    if (invocations.size() == 0 && time >= Math.max(minEnd, movesEnd)) {
       onStopped.run();
     } else {
       wheel.arm(time + MOVE_INTERVAL_MICROS, at -> step(at, minEnd, end));
--- a/proxy/src/test/java/amberhoist/core/EventOrderTest.java
+++ b/proxy/src/test/java/amberhoist/core/EventOrderTest.java
@@ -232,6 +232,23 @@
     }
   }
 
+  /** The proxy must not close its sockets before a client has its MOVE, which may wait for lines under way. */
+  @Test
+  public void stopEndsOnlyAfterItsLastMoveIsSent() {
+    start(Effect.IDEMPOTENT, 1);
+    long invocation = request(7, 2000 * MILLIS);
+    core.onConnected(now, invocation, 1);
+    core.onUp(now, invocation, 1);
+    long[] stoppedAt = new long[1];
+    core.stop(now, false, () -> stoppedAt[0] = now);
+    while (count("move 7") == 0) {
+      advance(4 * MILLIS);
+    }
+    long movedAt = now;
+    advance(500 * MILLIS);
+    assertTrue(stoppedAt[0] >= movedAt + Commands.MAX_MOVE_WAIT_MICROS);
+  }
+
   /** Prevents the end of a stop from rejecting all pending invocations as if none of them could have run. */
   @Test
   public void endOfStopFailsInvocationsThatMayHaveRun() {
