Repeat reads and writes that a signal has interrupted instead of ending the connection

Cause: asynchronous channels of the JDK do not repeat such a call, they complete with -3 (IOStatus.INTERRUPTED). Transport took each number below zero for the end of input, and took it off the bytes that are queued.

Evidence: a scratch library (LD_PRELOAD) under lab soak; short reads and writes and EAGAIN alone break nothing, EINTR does.

Change: reads and writes of clients, providers, directory and management API are repeated. The admin socket's blocking channel repeats them itself.

--- a/proxy/src/main/java/amberhoist/mgmt/ManagementServer.java
+++ b/proxy/src/main/java/amberhoist/mgmt/ManagementServer.java
@@ -1,5 +1,6 @@
 package amberhoist.mgmt;
 
+import amberhoist.net.option.InterruptedCalls;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -179,6 +180,10 @@
   }
 
   private void onRead(Client client, int bytes) {
+    if (InterruptedCalls.isInterrupted(bytes)) {
+      read(client);
+      return;
+    }
     if (bytes < 0) {
       client.parser.onEndOfInput();
     } else {
@@ -222,7 +227,8 @@
 
   private void onDrained(Client client, int bytes) {
     client.discardedBytes += Math.max(0, bytes);
-    if (bytes < 0 || client.discardedBytes > MAX_BODY_BYTES || client.deadlineNanos - System.nanoTime() < 0) {
+    boolean isEnded = bytes < 0 && !InterruptedCalls.isInterrupted(bytes);
+    if (isEnded || client.discardedBytes > MAX_BODY_BYTES || client.deadlineNanos - System.nanoTime() < 0) {
       disconnect(client);
     } else {
       drain(client);
--- a/proxy/src/main/java/amberhoist/net/Transport.java
+++ b/proxy/src/main/java/amberhoist/net/Transport.java
@@ -2,6 +2,7 @@
 
 import amberhoist.core.SlotTable;
 import amberhoist.net.Connection.Role;
+import amberhoist.net.option.InterruptedCalls;
 import amberhoist.net.option.UnsupportedOptions;
 import amberhoist.relay.Relay;
 import amberhoist.relay.Relay.Side;
@@ -54,12 +55,18 @@
     }, this::onBroken);
     readHandler = completions.handler((connection, bytes) -> {
       connection.reading = false;
-      onRead(connection, bytes);
+      if (InterruptedCalls.isInterrupted(bytes)) {
+        read(connection);
+      } else {
+        onRead(connection, bytes);
+      }
     }, this::onBroken);
     writeHandler = completions.handler((connection, bytes) -> {
       connection.writing = false;
-      connection.queuedBytes -= bytes;
-      connection.writtenBytes += bytes;
+      if (!InterruptedCalls.isInterrupted(bytes)) {
+        connection.queuedBytes -= bytes;
+        connection.writtenBytes += bytes;
+      }
       write(connection);
     }, this::onWriteFailed);
   }
--- a/proxy/src/main/java/amberhoist/net/watch/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/watch/DirectoryWatch.java
@@ -11,6 +11,7 @@
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.net.EventLoop;
+import amberhoist.net.option.InterruptedCalls;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -199,6 +200,10 @@
   }
 
   private void onRead(Watch watch, int bytes) throws IOException {
+    if (InterruptedCalls.isInterrupted(bytes)) {
+      watch.channel.read(watch.buffer, watch.id, readHandler);
+      return;
+    }
     if (bytes < 0) {
       throw new IOException("connection closed by the directory");
     }
