--- a/lab/src/main/java/amberhoist/lab/soak/SoakCommand.java
+++ b/lab/src/main/java/amberhoist/lab/soak/SoakCommand.java
@@ -37,6 +37,10 @@
       description = "how long clients come before the process is told to end (default: ${DEFAULT-VALUE})")
   private int seconds;
 
+  @Option(names = "--faults", paramLabel = "KIND,...", defaultValue = "",
+      description = "faults of system calls in the proxy: short, eagain, eintr, accept, connect, socket")
+  private String faultKinds;
+
   @Option(names = "--out", paramLabel = "DIR", defaultValue = "target/soak",
       description = "folder for logs and configurations (default: ${DEFAULT-VALUE})")
   private Path folder;
@@ -52,10 +56,11 @@
       throw new IOException("deploy/balancer.toml names no run command");
     }
     String platformText = Files.readString(Path.of("example/config.json"));
+    SyscallFaults faults = faultKinds.isEmpty() ? SyscallFaults.NONE : SyscallFaults.compile(faultKinds, folder);
     int failures = 0;
     for (long seed = firstSeed; seed < firstSeed + runs; seed++) {
       Path runFolder = folder.resolve(String.valueOf(seed));
-      Outcome outcome = new SoakRun(runFolder, seed, seconds * 1000L).run(command.group(1), platformText);
+      Outcome outcome = new SoakRun(runFolder, seed, seconds * 1000L, faults).run(command.group(1), platformText);
       System.out.println("seed " + seed + ": " + outcome.connections() + " connections, " + outcome.moved() + " moved, "
           + outcome.violations().size() + " violations");
       outcome.violations().stream().limit(SHOWN_VIOLATIONS).forEach(violation -> System.out.println("  " + violation));
--- a/lab/src/main/java/amberhoist/lab/soak/SoakRun.java
+++ b/lab/src/main/java/amberhoist/lab/soak/SoakRun.java
@@ -44,6 +44,7 @@
   private static final String CLASS_NAME = "scan-tiles";
 
   private final Path folder;
+  private final SyscallFaults faults;
   private final RandomSource random;
   private final long seed;
   private final long useMillis;
@@ -54,8 +55,9 @@
   private volatile boolean arrivalsEnded;
   private volatile boolean killed;
 
-  SoakRun(Path folder, long seed, long useMillis) {
+  SoakRun(Path folder, long seed, long useMillis, SyscallFaults faults) {
     this.folder = folder;
+    this.faults = faults;
     this.seed = seed;
     this.useMillis = useMillis;
     random = new RandomSource(seed, 0);
@@ -110,11 +112,12 @@
         .replaceAll("\"sockets\": [0-9]+", "\"sockets\": " + (hasCrowd ? CROWD_SOCKETS : 1024));
   }
 
-  private static Process start(String command, Path config, String directory, Path log) throws IOException {
+  private Process start(String command, Path config, String directory, Path log) throws IOException {
     ProcessBuilder builder = new ProcessBuilder("sh", "-c", command);
     builder.environment().keySet().removeIf(name -> name.startsWith("LB_") || name.startsWith("AMBERHOIST_"));
     builder.environment().putAll(Map.of("LB_CONFIG", config.toAbsolutePath().toString(), "LB_LISTEN", "127.0.0.1:0",
         "LB_DISCOVERY", directory));
+    faults.addTo(builder.environment(), seed);
     return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
   }
 
--- a/proxy/src/main/java/amberhoist/net/DescriptorBudget.java
+++ b/proxy/src/main/java/amberhoist/net/DescriptorBudget.java
@@ -10,7 +10,7 @@
  * idle or never close do not take the descriptors that other clients need. From its open request on, a client counts
  * twice, since it will need a provider connection as well. Only connections that are owed no answer are evicted: first
  * the oldest of those to which everything is written, then the client that has been idle longest before its open
- * request, and last the oldest for which bytes are still queued.
+ * request, and last the oldest for which bytes or a reset are still to be sent.
  */
 public final class DescriptorBudget {
   private static final int SPARE_DESCRIPTORS = 16;
@@ -108,7 +108,7 @@
 
   private Connection nextEvicted() {
     for (Connection connection : finishing) {
-      if (connection.queuedBytes == 0) {
+      if (connection.queuedBytes == 0 && !connection.resetWhenWritten) {
         return connection;
       }
     }
