Move clients at once that are established at the last moment of a stop

Change: after the time for moves is over, MOVE goes out without waiting. The soak's platform file names its own directory, so that a SIGHUP does not lead the proxy to a dead one.

--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -355,7 +355,7 @@
   }
 
   @Override
-  public void move(long clientId, boolean isProviderSilent) {
+  public void move(long clientId, boolean atOnce) {
     ClientSession session = sessions.remove(clientId);
     if (session != null) {
       session.closed = true;
--- a/lab/src/main/java/amberhoist/lab/soak/SoakRun.java
+++ b/lab/src/main/java/amberhoist/lab/soak/SoakRun.java
@@ -78,7 +78,8 @@
       }
       String[] entries = providers.stream().map(ScriptedProvider::directoryEntry).toArray(String[]::new);
       directory.replaceEntries(entries);
-      Path config = Files.writeString(folder.resolve("config.json"), configure(platformText, entries));
+      Path config = Files.writeString(folder.resolve("config.json"),
+          configure(platformText, entries, directory.address()));
       proxy = start(command, config, directory.address(), logFile);
       int port = awaitPort(proxy, logFile);
       for (int i = 0; i < CLIENTS; i++) {
@@ -106,8 +107,9 @@
     }
   }
 
-  private String configure(String platformText, String[] entries) {
-    return platformText.replaceAll("(?s)\"endpoints\": \\[.*?\\]", "\"endpoints\": [" + String.join(",", entries) + "]")
+  private String configure(String platformText, String[] entries, String directory) {
+    return platformText.replaceAll("\"discovery\": \"127[^\"]*\"", "\"discovery\": \"" + directory + "\"")
+        .replaceAll("(?s)\"endpoints\": \\[.*?\\]", "\"endpoints\": [" + String.join(",", entries) + "]")
         .replaceAll("\"give-up\": [0-9]+", "\"give-up\": " + deadlineMillis * 1000)
         .replaceAll("\"sockets\": [0-9]+", "\"sockets\": " + (hasCrowd ? CROWD_SOCKETS : 1024));
   }
--- a/proxy/src/main/java/amberhoist/core/Commands.java
+++ b/proxy/src/main/java/amberhoist/core/Commands.java
@@ -27,9 +27,10 @@
   long MAX_MOVE_WAIT_MICROS = 150_000;
 
   /**
-   * Sends a client MOVE, between two lines, and closes. Lines under way from a provider that is not silent come first.
+   * Sends a client MOVE, between two lines, and closes. Lines under way from the provider come first unless it is to
+   * happen at once.
    */
-  void move(long clientId, boolean isProviderSilent);
+  void move(long clientId, boolean atOnce);
 
   /** Whether lines of this provider connection are left unread because its client reads too slowly. */
   boolean isHeldBack(long connectionId);
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -291,10 +291,14 @@
 
   @Override
   public void move(long requestId) {
+    move(requestId, false);
+  }
+
+  private void move(long requestId, boolean atOnce) {
     Invocation invocation = invocations.get(requestId);
     if (invocation != null && invocation.phase == Phase.ESTABLISHED) {
       counters.increment(Count.MOVED);
-      commands.move(invocation.clientId, false);
+      commands.move(invocation.clientId, atOnce);
       events.runLater(() -> {
         if (invocations.get(requestId) == invocation) {
           end(requestId, invocation, Outcome.CANCELLED);
--- a/proxy/src/main/java/amberhoist/core/GracefulStop.java
+++ b/proxy/src/main/java/amberhoist/core/GracefulStop.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 
 /**
  * A graceful stop: serves on while the front may still send clients here, then rejects new invocations and moves all
@@ -14,6 +13,11 @@
  * time there is.
  */
 final class GracefulStop {
+  /** Moves the client of an established invocation; {@code atOnce} without waiting for lines under way. */
+  interface Mover {
+    void move(long invocationId, boolean atOnce);
+  }
+
   private static final long MOVE_INTERVAL_MICROS = 20_000;
   private static final long MIN_STOP_MICROS = 1_000_000; // so that late arrivals still get an answer
   private static final double MAX_MOVE_DELAY_FRACTION = 0.55; // of the duration of a short stop
@@ -22,7 +26,7 @@
   private final SlotTable<Invocation> invocations;
   private final TimerWheel wheel;
   private final EventQueue events;
-  private final LongConsumer moveInvocation;
+  private final Mover moveInvocation;
   private final Consumer<List<Long>> rejectUnanswered;
   private boolean rejecting;
   private Runnable onStopped;
@@ -30,7 +34,7 @@
   private double dueMoves; // the fraction of a move carried over to the next step
 
   /** Creates a stop; {@code rejectUnanswered} receives the invocations that have no answer at its end. */
-  GracefulStop(SlotTable<Invocation> invocations, TimerWheel wheel, EventQueue events, LongConsumer moveInvocation,
+  GracefulStop(SlotTable<Invocation> invocations, TimerWheel wheel, EventQueue events, Mover moveInvocation,
       Consumer<List<Long>> rejectUnanswered) {
     this.invocations = invocations;
     this.wheel = wheel;
@@ -66,12 +70,13 @@
       invocations.forEach(id -> (invocations.get(id).phase == Phase.ESTABLISHED ? established : unanswered).add(id));
       boolean isLast = events.now() + MOVE_INTERVAL_MICROS >= end;
       long moveEnd = end - Commands.MAX_MOVE_WAIT_MICROS; // the last MOVE is then sent by the end
-      long steps = (moveEnd - events.now()) / MOVE_INTERVAL_MICROS;
+      long steps = Math.floorDiv(moveEnd - events.now(), MOVE_INTERVAL_MICROS);
       dueMoves += (double) established.size() / Math.max(1, steps);
       long moves = steps <= 1 ? established.size() : (long) dueMoves;
       dueMoves -= moves;
-      established.stream().limit(moves).forEach(moveInvocation::accept);
-      movesEnd = moves == 0 ? movesEnd : events.now() + Commands.MAX_MOVE_WAIT_MICROS;
+      boolean atOnce = steps < 0; // established at the last moment: no time is left to wait
+      established.stream().limit(moves).forEach(id -> moveInvocation.move(id, atOnce));
+      movesEnd = moves == 0 || atOnce ? movesEnd : events.now() + Commands.MAX_MOVE_WAIT_MICROS;
       if (isLast) {
         rejectUnanswered.accept(unanswered);
       }
--- a/proxy/src/main/java/amberhoist/front/ClientHandler.java
+++ b/proxy/src/main/java/amberhoist/front/ClientHandler.java
@@ -13,7 +13,7 @@
 
   /**
    * Sends the client a request to move, between two lines, and closes both its connection and the provider's. Lines
-   * that the provider has written come before it, unless the provider is silent.
+   * that the provider has written come before it unless it is to happen at once.
    */
-  void move(Connection client, boolean isProviderSilent);
+  void move(Connection client, boolean atOnce);
 }
--- a/proxy/src/main/java/amberhoist/front/CommandDispatcher.java
+++ b/proxy/src/main/java/amberhoist/front/CommandDispatcher.java
@@ -63,8 +63,8 @@
   }
 
   @Override
-  public void move(long clientId, boolean isProviderSilent) {
-    onClient(clientId, (handler, client) -> handler.move(client, isProviderSilent));
+  public void move(long clientId, boolean atOnce) {
+    onClient(clientId, (handler, client) -> handler.move(client, atOnce));
   }
 
   @Override
--- a/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
@@ -270,7 +270,7 @@
   }
 
   @Override
-  public void move(Connection client, boolean isProviderSilent) {
-    relayCloser.move(client, isProviderSilent);
+  public void move(Connection client, boolean atOnce) {
+    relayCloser.move(client, atOnce);
   }
 }
--- a/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
+++ b/proxy/src/main/java/amberhoist/front/line/RelayCloser.java
@@ -27,9 +27,9 @@
     run(connection, connection.relay().onEnded(side, ending, connection.faultText()));
   }
 
-  /** The proxy moves the client: ends both connections, without waiting for a silent provider. */
-  void move(Connection client, boolean isProviderSilent) {
-    run(client, client.relay().onMove(isProviderSilent));
+  /** The proxy moves the client: ends both connections, at once or after lines that the provider has written. */
+  void move(Connection client, boolean atOnce) {
+    run(client, client.relay().onMove(atOnce));
   }
 
   private void run(Connection connection, List<Action> actions) {
--- a/proxy/src/main/java/amberhoist/relay/Relay.java
+++ b/proxy/src/main/java/amberhoist/relay/Relay.java
@@ -129,16 +129,16 @@
   }
 
   /**
-   * The proxy moves the client. Lines that the provider has written by then come before MOVE; a silent provider is not
-   * waited for.
+   * The proxy moves the client. Lines that the provider has written by then come before MOVE unless it is to happen at
+   * once, as for a silent provider.
    */
-  public List<Action> onMove(boolean isProviderSilent) {
+  public List<Action> onMove(boolean atOnce) {
     recordEnd(End.MOVE, "");
     if (state != State.RELAYING) {
       return List.of();
     }
-    state = isProviderSilent ? State.ENDED : State.MOVING;
-    return isProviderSilent ? List.of(Action.MOVE_CLIENT, Action.FINISH_PROVIDER)
+    state = atOnce ? State.ENDED : State.MOVING;
+    return atOnce ? List.of(Action.MOVE_CLIENT, Action.FINISH_PROVIDER)
         : List.of(Action.END_PROVIDER_OUTPUT);
   }
 
--- a/proxy/src/test/java/amberhoist/core/EventOrderTest.java
+++ b/proxy/src/test/java/amberhoist/core/EventOrderTest.java
@@ -67,7 +67,7 @@
     }
 
     @Override
-    public void move(long client, boolean isProviderSilent) {
+    public void move(long client, boolean atOnce) {
       commandLog.add("move " + client);
     }
 
@@ -249,6 +249,23 @@
     assertTrue(stoppedAt[0] >= movedAt + Commands.MAX_MOVE_WAIT_MICROS);
   }
 
+  /** A client established at the last moment must not delay the end of a stop towards the time of the kill. */
+  @Test
+  public void stopEndsInTimeAlsoWhereAClientIsEstablishedAtItsEnd() {
+    start(Effect.IDEMPOTENT, 1);
+    long[] stoppedAt = new long[1];
+    long begin = now;
+    core.stop(now, false, () -> stoppedAt[0] = now);
+    advance(400 * MILLIS);
+    long invocation = request(7, 9000 * MILLIS);
+    core.onConnected(now, invocation, 1);
+    advance(begin + 3_120 * MILLIS - now); // the longest deadline is 3 s, the last step 130 ms later
+    core.onUp(now, invocation, 1);
+    advance(500 * MILLIS);
+    assertEquals(1, count("move 7"));
+    assertTrue("ends by 3.2 s", stoppedAt[0] > 0 && stoppedAt[0] <= begin + 3_200 * MILLIS);
+  }
+
   /** Prevents the end of a stop from rejecting all pending invocations as if none of them could have run. */
   @Test
   public void endOfStopFailsInvocationsThatMayHaveRun() {
