--- a/lab/src/test/java/amberhoist/lab/SimulationTest.java
+++ b/lab/src/test/java/amberhoist/lab/SimulationTest.java
@@ -105,7 +105,9 @@
   @ParameterizedTest
   @EnumSource(value = Mutant.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
   void checkerDetectsEachMutantWithinThreeSeeds(Mutant mutant) {
-    Experiment experiment = ExperimentFile.read(Path.of("experiments/smoke-faults.toml"), new ArrayList<>());
+    // a budget that is many times too large shows surely only where many proxies share it
+    String world = mutant == Mutant.RAMPS_AS_IF_ALONE ? "ramp" : "faults";
+    Experiment experiment = ExperimentFile.read(Path.of("experiments/smoke-" + world + ".toml"), new ArrayList<>());
     boolean detected = false;
     for (long seed = 1; seed <= 3 && !detected; seed++) {
       detected = !new Simulation(experiment, experiment.variants().get(0), seed, true, mutant)
