--- a/review/rig-2/src/Rig.java
+++ b/review/rig-2/src/Rig.java
@@ -723,6 +723,12 @@
 
   /** Writes a configuration like that of a small deployment and returns its path. */
   Path config(String file, String listen, String discovery, String known, String mode) throws IOException {
+    return config(file, listen, discovery, known, mode, STOP_SENDING_MILLIS);
+  }
+
+  /** The same with another rules.stop-sending-within. */
+  Path config(String file, String listen, String discovery, String known, String mode, long stopSendingMillis)
+      throws IOException {
     String text = "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery
         + "\",\"seed\":\"8c1f30d27a5be964\",\n"
         + " \"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\n"
@@ -738,7 +744,7 @@
         + "  \"limits\":{\"dial-timeout\":200000,\"max-attempts\":4,\"retry-after\":true,\"max-retry-after\":1500000,"
         + "\"probing\":false,\"peers\":false,\"may-cancel\":true,\"may-duplicate\":false},\n"
         + "  \"rules\":{\"ask-within\":10000000,\"cold\":9000000,\"cold-share\":0.33,\"fall\":2000000,"
-        + "\"overload-factor\":3.0,\"stop-sending-within\":" + STOP_SENDING_MILLIS * 1000 + ",\"answer-slack\":16000}}}\n";
+        + "\"overload-factor\":3.0,\"stop-sending-within\":" + stopSendingMillis * 1000 + ",\"answer-slack\":16000}}}\n";
     Path path = temp.resolve(file);
     Files.writeString(path, text);
     return path;
