--- a/review/rig-2/src/Rig.java
+++ b/review/rig-2/src/Rig.java
@@ -119,7 +119,7 @@
     thread.start();
   }
 
-  /** A free port below those that the system gives to outgoing connections, so that none of these takes it. */
+  /** A free port below the usual range of outgoing connections, so that none of these takes it. */
   static int freePort() {
     for (int i = 0; i < 200; i++) {
       int port = 12_000 + RANDOM.nextInt(18_000);
