Keep open connections until the directory has told or denied their provider

Cause: a provider whose address is not known counted as unwilling, like one that sends ERR, and what is unwilling for 2 s is failed. Before the directory's first answer the registry holds only the configuration's list, which may be old. A socket that could not be opened counted the same.

Change: only evidence ends a handover early: the provider's own ERR or BUSY, or an answer of the directory to this process without the provider. Event handover.failed says which.

answersErrToInvalidFirstLinesAndContactsNoProvider expected ERR for at=nobody from a directory that never answers; the directory now answers first, the check is the same.

--- a/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
+++ b/lab/src/main/java/amberhoist/lab/emulator/EmulatedProxy.java
@@ -367,6 +367,11 @@
     }
   }
 
+  @Override
+  public boolean hasAddress(String provider) {
+    return simulation.provider(provider) != null;
+  }
+
   @Override
   public void requestLoadReport(String provider) {
     EmulatedProvider target = simulation.provider(provider);
--- a/proxy/src/main/java/amberhoist/core/Attempts.java
+++ b/proxy/src/main/java/amberhoist/core/Attempts.java
@@ -12,9 +12,9 @@
  * timer may be handled before the completion of a write whose bytes the provider received long ago.
  */
 final class Attempts {
-  /** Notified when an attempt ended without UP; {@code unwilling} if its provider is unknown or sent ERR or BUSY. */
+  /** Notified when an attempt ended without UP. */
   interface AttemptListener {
-    void onEnded(long invocationId, Invocation invocation, Outcome outcome, boolean unwilling);
+    void onEnded(long invocationId, Invocation invocation, Outcome outcome);
   }
 
   private final SlotTable<Invocation> invocations;
@@ -115,13 +115,11 @@
     count(outcome);
     telemetry.onAttemptEnded(invocationId, invocation.providerName, outcome,
         events.now() - invocation.attemptStartedAt);
-    boolean unwilling = invocation.connectionId == SlotTable.NONE || outcome == Outcome.ERROR
-        || outcome == Outcome.FULL;
     invocation.cancelAttemptTimers();
     commands.abandon(invocation.connectionId); // before the next attempt, so that two are never in flight
     invocation.connectionId = SlotTable.NONE;
     invocation.phase = Phase.PENDING;
-    listener.onEnded(invocationId, invocation, outcome, unwilling);
+    listener.onEnded(invocationId, invocation, outcome);
   }
 
   private void count(Outcome outcome) {
--- a/proxy/src/main/java/amberhoist/core/Commands.java
+++ b/proxy/src/main/java/amberhoist/core/Commands.java
@@ -8,6 +8,9 @@
   /** Starts an attempt: connects to a provider. Returns the connection's id, {@link SlotTable#NONE} if none started. */
   long connect(long invocationId, long clientId, String provider);
 
+  /** Whether an address of this provider is known, from the directory or from the configuration. */
+  boolean hasAddress(String provider);
+
   /** Forwards the open request to a connected provider, which has {@code waitMillis} to answer. */
   void forwardOpenRequest(long connectionId, long waitMillis);
 
--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -58,7 +58,7 @@
         invocationId -> balancer.shouldSend(events.now(), invocationId));
     answers = new Answers(invocations, events, commands, counters, telemetry, balancer);
     deadlineExpiry = new DeadlineExpiry(invocations, events, attempts, answers, balancer, counters);
-    handoverRetries = new HandoverRetries(invocations, wheel, events, answers, attempts,
+    handoverRetries = new HandoverRetries(invocations, wheel, events, commands, telemetry, answers, attempts,
         () -> this.limits.connectTimeoutMicros());
     silenceDetector = new SilenceDetector(invocations, wheel, events, commands, timing, this::onSilent);
     gracefulStop = new GracefulStop(invocations, wheel, events, this::move,
@@ -89,7 +89,12 @@
 
   /** The directory has sent an update. */
   public void onDirectoryUpdate(long time, ListUpdateKind kind, List<Server> providers) {
-    runEvent(time, () -> balancer.onServerList(events.now(), kind, providers));
+    runEvent(time, () -> {
+      if (kind == ListUpdateKind.CHANGES || kind == ListUpdateKind.FULL) {
+        handoverRetries.onDirectoryAnswered();
+      }
+      balancer.onServerList(events.now(), kind, providers);
+    });
   }
 
   /** A client requests a connection; returns the id of the invocation, which may already have been answered. */
@@ -143,12 +148,12 @@
   }
 
   /** Lets the balancer decide what follows an attempt without UP, except for a handover, which is retried. */
-  private void onAttemptEnded(long invocationId, Invocation invocation, Outcome outcome, boolean unwilling) {
+  private void onAttemptEnded(long invocationId, Invocation invocation, Outcome outcome) {
     if (invocation.knownToBalancer) {
       balancer.onAttemptEnded(events.now(), invocationId, invocation.attemptCount - 1, outcome,
           events.now() - invocation.attemptStartedAt, false);
     } else {
-      handoverRetries.retryOrFail(invocationId, invocation, unwilling);
+      handoverRetries.retryOrFail(invocationId, invocation, outcome);
     }
   }
 
--- a/proxy/src/main/java/amberhoist/core/Telemetry.java
+++ b/proxy/src/main/java/amberhoist/core/Telemetry.java
@@ -24,6 +24,9 @@
 
     @Override
     public void onSilentProvider(long invocationId, String provider) {}
+
+    @Override
+    public void onHandoverFailed(long invocationId, String provider, String reason) {}
   };
 
   /** An attempt starts; the first of an invocation has number 1. */
@@ -37,4 +40,7 @@
 
   /** A provider is silent; this invocation, established with it, is moved. */
   void onSilentProvider(long invocationId, String provider);
+
+  /** A connection that existed before this process started is given up before its deadline. */
+  void onHandoverFailed(long invocationId, String provider, String reason);
 }
--- a/proxy/src/main/java/amberhoist/front/CommandDispatcher.java
+++ b/proxy/src/main/java/amberhoist/front/CommandDispatcher.java
@@ -29,6 +29,11 @@
     return client == null ? SlotTable.NONE : providerHandler.connect(invocationId, client, provider);
   }
 
+  @Override
+  public boolean hasAddress(String provider) {
+    return providerHandler.hasAddress(provider);
+  }
+
   @Override
   public void forwardOpenRequest(long connectionId, long waitMillis) {
     transport.ifPresent(connectionId, provider -> providerHandler.forward(provider, waitMillis));
--- a/proxy/src/main/java/amberhoist/front/ProviderHandler.java
+++ b/proxy/src/main/java/amberhoist/front/ProviderHandler.java
@@ -12,6 +12,9 @@
    */
   long connect(long invocationId, Connection client, String provider);
 
+  /** Whether an address of this provider is known. */
+  boolean hasAddress(String provider);
+
   /** Requests a load report from a provider; the core is notified if one arrives. */
   void requestLoadReport(String provider);
 
--- a/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
@@ -72,6 +72,11 @@
     }
   }
 
+  @Override
+  public boolean hasAddress(String provider) {
+    return registry.addressOf(provider) != null;
+  }
+
   @Override
   public void requestLoadReport(String provider) {
     reports.fetch(provider);
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -38,6 +38,8 @@
   INVOCATION_ARRIVED(Level.DEBUG, true, "a client requests a connection; the id is that of its open request",
       "invocation", "request", "class", "peer"),
   INVOCATION_ANSWERED(Level.DEBUG, true, "an invocation got its final answer", "invocation", "outcome", "micros"),
+  HANDOVER_FAILED(Level.INFO, true, "a connection that existed before this process started was given up before its"
+      + " deadline", "invocation", "provider", "why"),
   RELAY_ENDED(Level.DEBUG, true, "both connections of a relay are closed and all bytes read were written",
       "invocation", "end", "why"),
   RELAY_CUT(Level.INFO, true, "both connections of a relay are closed; a side did not get all bytes that were read"
--- a/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
+++ b/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
@@ -49,6 +49,12 @@
     log.log(Event.PROVIDER_SILENT, "the provider is silent", "invocation", invocation, "provider", provider);
   }
 
+  @Override
+  public void onHandoverFailed(long invocation, String provider, String reason) {
+    log.log(Event.HANDOVER_FAILED, "a handover has failed", "invocation", invocation, "provider", provider, "why",
+        reason);
+  }
+
   /** Counts the ends of relays by what ended them, and logs them. */
   record RelayLog(EventLog log, Counters counters) {
     void onRelayEnded(Relay relay) {
--- a/proxy/src/test/java/amberhoist/core/EventOrderTest.java
+++ b/proxy/src/test/java/amberhoist/core/EventOrderTest.java
@@ -35,7 +35,12 @@
     @Override
     public long connect(long invocation, long client, String provider) {
       commandLog.add("dial " + provider);
-      return ++lastConnection;
+      return provider.equals(unknownProvider) ? SlotTable.NONE : ++lastConnection;
+    }
+
+    @Override
+    public boolean hasAddress(String provider) {
+      return !provider.equals(unknownProvider);
     }
 
     @Override
@@ -80,6 +85,7 @@
     @Override
     public void log(String message) {}
   };
+  private String unknownProvider; // has no address
   private long now = 1_000_000_000;
   private final TimerWheel timerWheel = new TimerWheel(4 * MILLIS, now);
   private final Counters counters = new Counters();
@@ -126,6 +132,62 @@
         .map(line -> Integer.parseInt(line.substring(6))).orElseThrow();
   }
 
+  /** Submits the request of a client that has a connection at this provider already; returns the invocation's id. */
+  private long handOver(long client, String provider) {
+    return core.onInvocation(now, client,
+        new InvocationRequest("c", null, "k" + client, null, 99_999_999, 0, false, false, provider));
+  }
+
+  /**
+   * Guards against a connection that is lost because its provider joined after the list of the configuration was
+   * made: until the directory answers, such a provider has no address.
+   */
+  @Test
+  public void handoverWaitsForTheDirectoryToTellTheAddressOfItsProvider() {
+    start(Effect.IDEMPOTENT, 1);
+    unknownProvider = "p7";
+    long invocation = handOver(7, "p7");
+    advance(10_000 * MILLIS);
+    core.onDirectoryUpdate(now, ListUpdateKind.FAILED, List.of());
+    advance(20_000 * MILLIS);
+    assertEquals("neither the configuration nor a failed call says that it is gone", 0, count("fail 7"));
+    unknownProvider = null;
+    core.onDirectoryUpdate(now, ListUpdateKind.CHANGES, List.of(server(7, ServerState.READY)));
+    advance(300 * MILLIS);
+    core.onConnected(now, invocation, 1);
+    core.onUp(now, invocation, 1);
+    assertEquals(1, count("join 7"));
+  }
+
+  /** Guards against a client that waits for 40 s although the directory has said that its provider is gone. */
+  @Test
+  public void handoverFailsOnceTheDirectoryHasAnsweredWithoutItsProvider() {
+    start(Effect.IDEMPOTENT, 1);
+    unknownProvider = "p7";
+    handOver(7, "p7");
+    advance(5000 * MILLIS);
+    core.onDirectoryUpdate(now, ListUpdateKind.CHANGES, List.of());
+    advance(300 * MILLIS);
+    assertEquals(1, count("fail 7"));
+    handOver(8, "p7");
+    advance(1900 * MILLIS);
+    assertEquals("an entry may follow within 2 s", 0, count("fail 8"));
+    advance(400 * MILLIS);
+    assertEquals(1, count("fail 8"));
+  }
+
+  /** Guards against a handover without a provider's address that is not answered by the deadline of 40 s. */
+  @Test
+  public void handoverIsAnsweredAtItsDeadlineAlsoIfTheDirectoryNeverAnswers() {
+    start(Effect.IDEMPOTENT, 1);
+    unknownProvider = "p7";
+    handOver(7, "p7");
+    advance(39_900 * MILLIS);
+    assertEquals(0, count("reject 7") + count("fail 7"));
+    advance(200 * MILLIS);
+    assertEquals("nothing has run", 1, count("reject 7"));
+  }
+
   /**
    * Prevents an attempt from being taken for one that never ran when the connection is reset before the completion of
    * the write is reported: the line may have reached the provider long before.
--- a/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
@@ -41,6 +41,22 @@
     }
   }
 
+  /** Guards against an open connection that is failed before a slow directory has told its provider's address. */
+  @Test
+  public void handoverIsEstablishedOnceASlowDirectoryTellsItsProvider() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      Peer client = peers.connectClient(openRequest("k", 99_999_999, ",at=late"));
+      Peer watch = peers.acceptWatch(new String[1]);
+      awaitCount(peers, Count.CALLS, 10); // tried every 250 ms, so for more than 2 s
+      watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      watch.send(httpChunk(peers.providerListJson(2, true).replace("\"p0\"", "\"late\"")));
+      Peer provider = peers.acceptAtProvider(0);
+      assertTrue(provider.readLine().contains("at=late"));
+      provider.send("UP 5\r\n");
+      assertEquals("UP 5", client.readLine());
+    }
+  }
+
   @Test
   public void renewsTheWatchAfterAnErrorResetInvalidObjectOrSilence() throws Exception {
     try (StubPeers peers = new StubPeers(1)) {
--- a/proxy/src/test/java/amberhoist/service/ProxyScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ProxyScenarioTest.java
@@ -52,6 +52,8 @@
   @Test
   public void answersErrToInvalidFirstLinesAndContactsNoProvider() throws Exception {
     try (StubPeers peers = new StubPeers(1)) {
+      peers.acceptWatchAndSend(peers.providerListJson(2, true)); // or else at=nobody might still be told
+      DirectoryScenarioTest.awaitCount(peers, Count.DIRECTORY_NEWS, 1);
       String valid = openRequest("k", 2000, "").trim();
       List<String> invalid = List.of("\r\n", "HELLO\r\n", "OPEN\r\n", "OPEN a\r\n", "OPEN a b\r\n",
           "OPEN a b c\r\n", "OPEN  b c=chat,d=5\r\n", "OPEN a b c=chat,d=x\r\n", "OPEN a b c=chat,d=-5\r\n",
