Bound what the decision module keeps of names that clients choose

What callers saw: with one client that comes under ever new keys, groups and tenants of 1,500 characters, 1,600 connections a second, a process with 96 MB had its heap full after 6 s; all other clients then waited in vain. With 192 MB it grew to 129 MB in 15 s.

Cause: affinity entries, groups with their rankings of all servers, and connection counts of tenants were removed by age alone, the last never, so the rate and length of new names set the memory.

Change: BoundedTable holds names up to a number of bytes and drops the least recently used. Affinity entries, groups and rankings get a sixteenth of the heap each; a tenant's count ends with its last connection. Far below the bound, decisions are as before.

--- a/proxy/src/main/java/amberhoist/decide/BalancerState.java
+++ b/proxy/src/main/java/amberhoist/decide/BalancerState.java
@@ -4,7 +4,6 @@
 import amberhoist.decide.Balancer.RequestClass;
 import amberhoist.decide.Balancer.Server;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -67,9 +66,8 @@
   /** The affinity entry of a client. */
   record AffinityEntry(TrackedServer server, long lastUsed) {}
 
-  /** A group of connections, with its recent requests, the offset of its latest request and its ranking of servers. */
+  /** A group of connections, with its recent requests and the offset of its latest request. */
   static final class ConnectionGroup {
-    List<TrackedServer> rankedServers; // null until needed
     double recentRequests;
     private double offset;
 
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -31,7 +31,7 @@
   static final long TICK_INTERVAL_MICROS = 20_000;
   /** Interval between scans of all servers: long enough for scans of hundreds of servers to cost little. */
   static final long SCAN_INTERVAL_MICROS = 100_000;
-  /** Interval between removals of old entries: short enough to bound the memory. */
+  /** Interval between removals of old entries. */
   static final long SWEEP_INTERVAL_MICROS = 10_000_000;
   /** How long before the deadline an answer is given, since a batch of events may come late. */
   static final long ANSWER_MARGIN_MICROS = 2 * TICK_INTERVAL_MICROS;
@@ -149,14 +149,19 @@
   /** A reset before this age counts as a failed setup, because servers drop their newest connections first. */
   static final long EARLY_RESET_MICROS = 3_000_000;
 
+  /** Memory of each table by names that clients choose, if the creator of this module names none. */
+  private static final long DEFAULT_MAX_TABLE_BYTES = 8L << 20;
+  private static final int REFERENCE_BYTES = 4;
+
   private static final RequestClass UNKNOWN_CLASS =
       new RequestClass("", Effect.NON_IDEMPOTENT, DedupScope.CELL, 0, 0, 1, 0);
 
   private final Map<String, TrackedServer> servers = new LinkedHashMap<>();
   private final List<TrackedServer> rotation = new ArrayList<>();
-  private final Map<String, AffinityEntry> affinityEntries = new LinkedHashMap<>();
+  private final BoundedTable<AffinityEntry> affinityEntries; // by client key
   private final Map<String, Long> suspendedAt = new HashMap<>(); // by server name
-  private final Map<String, ConnectionGroup> groups = new LinkedHashMap<>();
+  private final BoundedTable<ConnectionGroup> groups; // by name
+  private final BoundedTable<List<TrackedServer>> rankings; // of the servers in the rotation, by name of the group
   private final Map<Long, TrackedRequest> requests = new LinkedHashMap<>();
   private final Map<String, RequestClass> requestClasses = new HashMap<>();
   private ArrayDeque<TrackedRequest> queued = new ArrayDeque<>();
@@ -191,6 +196,23 @@
   private long subscribeAt;
   private long listRetryMicros = MIN_LIST_RETRY_MICROS;
 
+  /** Creates a module whose tables by names that clients choose are bounded by default values. */
+  public Policy() {
+    this(DEFAULT_MAX_TABLE_BYTES);
+  }
+
+  /**
+   * Creates a module with bounded tables.
+   *
+   * @param maxTableBytes memory for affinity entries, and again for groups and for their rankings of servers; above it,
+   *     the entries of the clients and groups that have been absent for the longest time are dropped
+   */
+  public Policy(long maxTableBytes) {
+    affinityEntries = new BoundedTable<>(maxTableBytes);
+    groups = new BoundedTable<>(maxTableBytes);
+    rankings = new BoundedTable<>(maxTableBytes);
+  }
+
   @Override
   public void start(long now, Settings newSettings, long seed, Actions newActions) {
     if (settings != null) {
@@ -284,8 +306,8 @@
     rotation.sort(Comparator.comparing(server -> server.info.name()));
     servers.values().removeIf(server -> !server.inRotation && server.connections == 0
         && server.info.state() == ServerState.GONE);
-    affinityEntries.values().removeIf(entry -> !entry.server().inRotation);
-    groups.values().forEach(group -> group.rankedServers = null);
+    affinityEntries.removeIf(entry -> !entry.server().inRotation);
+    rankings.clear();
     updateCapacities(now);
   }
 
@@ -334,7 +356,7 @@
     tracked.request = request;
     tracked.requestClass = requestClasses.getOrDefault(request.className(), UNKNOWN_CLASS);
     tracked.group = request.groupName() == null ? null
-        : groups.computeIfAbsent(request.groupName(), name -> new ConnectionGroup(random.nextDouble()));
+        : groups.computeIfAbsent(request.groupName(), () -> new ConnectionGroup(random.nextDouble()));
     tracked.loadKnown = request.loadHint() > 0;
     tracked.load = tracked.loadKnown ? request.loadHint() : typicalLoad(tracked.requestClass);
     recentGroupedRequests += tracked.group == null ? 0 : 1;
@@ -569,14 +591,16 @@
   }
 
   private List<TrackedServer> rankServers(TrackedRequest tracked) {
-    if (tracked.group.rankedServers == null) {
-      tracked.group.rankedServers = new ArrayList<>(rotation);
+    List<TrackedServer> ranked = rankings.get(tracked.request.groupName());
+    if (ranked == null) {
+      ranked = new ArrayList<>(rotation);
       rotation.forEach(server -> // weighted by capacity, so that a large server ranks first for more groups
           server.groupRank = -Math.log(BalancerState.hashToFraction(tracked.request.groupName(), server.info.name()))
               / server.info.relativeCapacity());
-      tracked.group.rankedServers.sort(Comparator.comparingDouble(server -> server.groupRank));
+      ranked.sort(Comparator.comparingDouble(server -> server.groupRank));
+      rankings.put(tracked.request.groupName(), ranked, (long) REFERENCE_BYTES * ranked.size());
     }
-    return tracked.group.rankedServers;
+    return ranked;
   }
 
   /**
@@ -688,12 +712,12 @@
   public void restoreAffinity(long now, Map<String, String> serverByClient) {
     serverByClient.values().removeIf(name -> !servers.containsKey(name) || !servers.get(name).inRotation);
     serverByClient.forEach((clientKey, name) ->
-        affinityEntries.putIfAbsent(clientKey, new AffinityEntry(servers.get(name), now)));
+        affinityEntries.computeIfAbsent(clientKey, () -> new AffinityEntry(servers.get(name), now)));
   }
 
   private void recordAffinity(long now, String clientKey, TrackedServer server) {
     if (clientKey != null && server != null && server.inRotation) {
-      affinityEntries.put(clientKey, new AffinityEntry(server, now));
+      affinityEntries.put(clientKey, new AffinityEntry(server, now), 0);
     }
   }
 
@@ -770,7 +794,8 @@
       return;
     }
     tracked.unendedAttempts--;
-    tenantConnections.merge(String.valueOf(tracked.request.tenant()), -1, Integer::sum);
+    tenantConnections.computeIfPresent(String.valueOf(tracked.request.tenant()),
+        (tenant, connections) -> connections > 1 ? connections - 1 : null);
     tracked.server.connections--;
     tracked.server.setupsInFlight -= tracked.established ? 0 : 1;
     setupsInFlight -= tracked.established ? 0 : 1;
@@ -814,8 +839,10 @@
   /** Removes the affinity entry after a failed setup or a broken connection, and ignores entries for this request. */
   private void resetAffinity(TrackedRequest tracked) {
     tracked.ignoresAffinity = true;
-    affinityEntries.computeIfPresent(tracked.request.clientKey(),
-        (clientKey, entry) -> entry.server() == tracked.server ? null : entry);
+    AffinityEntry entry = affinityEntries.get(tracked.request.clientKey());
+    if (entry != null && entry.server() == tracked.server) {
+      affinityEntries.remove(tracked.request.clientKey());
+    }
   }
 
   @Override
@@ -979,10 +1006,10 @@
     }
     if (now >= nextSweepAt) {
       nextSweepAt = now + SWEEP_INTERVAL_MICROS;
-      affinityEntries.values().removeIf(entry -> now - entry.lastUsed() >= AFFINITY_TTL_MICROS);
-      groups.values().forEach(group -> group.recentRequests *= GROUP_COUNT_DECAY);
+      affinityEntries.removeIf(entry -> now - entry.lastUsed() >= AFFINITY_TTL_MICROS);
+      groups.forEach(group -> group.recentRequests *= GROUP_COUNT_DECAY);
       recentGroupedRequests *= GROUP_COUNT_DECAY;
-      groups.values().removeIf(group -> group.recentRequests < 0.5);
+      groups.removeIf(group -> group.recentRequests < 0.5);
     }
   }
 }
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -48,6 +48,7 @@
 /** A complete proxy: core and decision module on an event loop, with sockets, directory watch and admin socket. */
 public final class Service {
   private static final long CLOSE_DELAY_MICROS = 300_000; // for idle and late clients, and the last FINs
+  private static final double TABLE_HEAP_FRACTION = 1.0 / 16; // of each table by names that clients choose
   private static final long SUPPRESSED_PERIOD_MICROS = 10_000_000; // between log.suppressed events
 
   private final EventLoop loop;
@@ -89,7 +90,8 @@
     acceptor = new Acceptor(loop, descriptors, counters, operator.socketLimits(), clients::onAccepted);
     CommandDispatcher dispatcher = new CommandDispatcher(transport, providers, this::ensureDirectoryWatch,
         message -> log.log(Event.MODULE_SAID, message));
-    core = new Core(new Policy(), loop.timerWheel(), dispatcher, counters, platform.limits(), operator.coreTiming(),
+    Policy policy = new Policy((long) (TABLE_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
+    core = new Core(policy, loop.timerWheel(), dispatcher, counters, platform.limits(), operator.coreTiming(),
         new LoggingTelemetry(log, latencies));
     directoryAddress = platform.directoryAddress();
     directoryWatch = new DirectoryWatch(loop, core, registry, counters, operator.watchTiming(), directoryAddress,
