--- a/proxy/src/main/java/amberhoist/core/Core.java
+++ b/proxy/src/main/java/amberhoist/core/Core.java
@@ -2,6 +2,7 @@
 
 import amberhoist.core.Invocation.Phase;
 import amberhoist.core.Telemetry.Answer;
+import amberhoist.core.load.LoadLineClassifier;
 import amberhoist.decide.Balancer;
 import amberhoist.decide.Balancer.ListUpdateKind;
 import amberhoist.decide.Balancer.Outcome;
--- a/proxy/src/main/java/amberhoist/core/Invocation.java
+++ b/proxy/src/main/java/amberhoist/core/Invocation.java
@@ -1,6 +1,7 @@
 package amberhoist.core;
 
 import amberhoist.core.TimerWheel.Timer;
+import amberhoist.core.load.LoadLineClassifier;
 import amberhoist.decide.Balancer.Request;
 
 /** One client's invocation, from its open request to the end of its connection. Times are in microseconds. */
--- a/proxy/src/main/java/amberhoist/core/LoadLineClassifier.java
+++ b/proxy/src/main/java/amberhoist/core/load/LoadLineClassifier.java
@@ -1,4 +1,4 @@
-package amberhoist.core;
+package amberhoist.core.load;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -12,7 +12,7 @@
  * second reveals the run, and the load is reset to what it was before. A provider keeps its period from run to run and
  * across connections, so once its {@link DelaySchedule} is known, a first line on schedule counts as a delay.
  */
-final class LoadLineClassifier {
+public final class LoadLineClassifier {
   static final long PERIOD_MICROS = 1_000_000;
   static final long PERIOD_TOLERANCE_MICROS = 15_000;
   private static final double PERIOD_MILLIS = 1000;
@@ -40,7 +40,7 @@
   }
 
   /** The schedules of all providers, by name. */
-  static final class DelaySchedules {
+  public static final class DelaySchedules {
     private static final int MAX_PROVIDERS = 1 << 16; // the oldest is dropped, and learned anew when it returns
 
     private final Map<String, DelaySchedule> schedules = new LinkedHashMap<>() {
@@ -51,7 +51,7 @@
     };
 
     /** Creates a classifier for a new connection to this provider. */
-    LoadLineClassifier newClassifier(String provider) {
+    public LoadLineClassifier newClassifier(String provider) {
       return new LoadLineClassifier(schedules.computeIfAbsent(provider, name -> new DelaySchedule()));
     }
   }
@@ -68,7 +68,7 @@
   }
 
   /** Records the value of a LOAD line; returns true if it is a delay in milliseconds, false if it is a load. */
-  boolean recordAndTestDelay(long now, double value) {
+  public boolean recordAndTestDelay(long now, double value) {
     boolean isDrop = value <= PERIOD_MILLIS && load() >= MIN_DROP_RATIO * value && !schedule.matches(now, value);
     boolean isDelay = isDrop || schedule.matches(now, value);
     for (int i = 0; i < KEPT_LINES; i++) {
@@ -100,7 +100,7 @@
   }
 
   /** The latest known load of the connection in microseconds of work per second, 0 before any. */
-  double load() {
+  public double load() {
     for (int back = 1; back <= KEPT_LINES; back++) {
       int i = Math.floorMod(next - back, KEPT_LINES);
       if (arrivedAt[i] != 0 && !delays[i]) {
--- a/proxy/src/main/java/amberhoist/decide/Policy.java
+++ b/proxy/src/main/java/amberhoist/decide/Policy.java
@@ -6,6 +6,7 @@
 import amberhoist.decide.BalancerState.TrackedRequest;
 import amberhoist.decide.BalancerState.TrackedServer;
 import amberhoist.decide.BalancerState.TypicalLoad;
+import amberhoist.decide.table.BoundedTable;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
--- a/proxy/src/main/java/amberhoist/decide/BoundedTable.java
+++ b/proxy/src/main/java/amberhoist/decide/table/BoundedTable.java
@@ -1,4 +1,4 @@
-package amberhoist.decide;
+package amberhoist.decide.table;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -13,9 +13,9 @@
  *
  * @param <V> the type of the values
  */
-final class BoundedTable<V> {
+public final class BoundedTable<V> {
   /** Estimated memory of an entry besides the characters of its name and the value's own part, in bytes. */
-  static final int ENTRY_BYTES = 160;
+  public static final int ENTRY_BYTES = 160;
 
   private record Entry<V>(V value, long bytes) {}
 
@@ -24,18 +24,18 @@
   private long bytes;
 
   /** Creates an empty table that holds entries of this many bytes in all; the latest entry is always held. */
-  BoundedTable(long maxBytes) {
+  public BoundedTable(long maxBytes) {
     this.maxBytes = maxBytes;
   }
 
   /** The value of this name, or null. */
-  V get(String name) {
+  public V get(String name) {
     Entry<V> entry = entries.get(name);
     return entry == null ? null : entry.value;
   }
 
   /** Stores a value, which replaces an earlier one of this name, and takes {@code valueBytes} by itself. */
-  void put(String name, V value, long valueBytes) {
+  public void put(String name, V value, long valueBytes) {
     Entry<V> entry = new Entry<>(value, ENTRY_BYTES + name.length() + valueBytes);
     Entry<V> previous = entries.put(name, entry);
     bytes += entry.bytes - (previous == null ? 0 : previous.bytes);
@@ -47,7 +47,7 @@
   }
 
   /** The value of this name; stores the one supplied if there is none. */
-  V computeIfAbsent(String name, Supplier<V> supplier) {
+  public V computeIfAbsent(String name, Supplier<V> supplier) {
     V value = get(name);
     if (value == null) {
       value = supplier.get();
@@ -56,12 +56,14 @@
     return value;
   }
 
-  void remove(String name) {
+  /** Removes a name, if it is there. */
+  public void remove(String name) {
     Entry<V> removed = entries.remove(name);
     bytes -= removed == null ? 0 : removed.bytes;
   }
 
-  void removeIf(Predicate<V> predicate) {
+  /** Removes the names whose values match. */
+  public void removeIf(Predicate<V> predicate) {
     entries.values().removeIf(entry -> {
       boolean matches = predicate.test(entry.value);
       bytes -= matches ? entry.bytes : 0;
@@ -69,17 +71,19 @@
     });
   }
 
-  void forEach(Consumer<V> action) {
+  /** Runs the action on each value. */
+  public void forEach(Consumer<V> action) {
     entries.values().forEach(entry -> action.accept(entry.value));
   }
 
-  void clear() {
+  /** Removes all names. */
+  public void clear() {
     entries.clear();
     bytes = 0;
   }
 
   /** The number of entries. */
-  int size() {
+  public int size() {
     return entries.size();
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/amberhoist/decide/table/package-info.java
@@ -0,0 +1,2 @@
+/** Tables of the decision module whose keys come from clients. */
+package amberhoist.decide.table;
--- a/proxy/src/test/java/amberhoist/core/LoadLineClassifierTest.java
+++ b/proxy/src/test/java/amberhoist/core/load/LoadLineClassifierTest.java
@@ -1,4 +1,4 @@
-package amberhoist.core;
+package amberhoist.core.load;
 
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
--- a/proxy/src/test/java/amberhoist/decide/BoundedTableTest.java
+++ b/proxy/src/test/java/amberhoist/decide/table/BoundedTableTest.java
@@ -1,4 +1,4 @@
-package amberhoist.decide;
+package amberhoist.decide.table;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
