Refuse ids of requests that may have run, also at the other process of an upgrade

Cause: the front knew the ids of open connections only and forgot an id when its connection was released, and nothing told the other process.

Change: ids.RequestIds claims an id when its request arrives and keeps the claim for a minute after the end if an attempt was forwarded and not turned away. ids.IdTable is a table of fixed size; upgrade.IdTableFile maps it from $TMPDIR where upgrades are possible. The operators' addresses move from Service, which grew, to OperatorEndpoints.

--- a/proxy/src/main/java/amberhoist/clock/Clock.java
+++ b/proxy/src/main/java/amberhoist/clock/Clock.java
@@ -13,6 +13,11 @@
     return microsAtStart + (System.nanoTime() - nanosAtStart) / 1000;
   }
 
+  /** The system's monotonic time in microseconds, from a start that all processes of this machine share. */
+  public long monotonic() {
+    return System.nanoTime() / 1000;
+  }
+
   /** Converts Unix milliseconds to this clock, correct also after the system clock was set; 0 stays 0. */
   public long fromUnixMillis(long millis) {
     return millis == 0 ? 0 : Math.max(1, now() + (millis - System.currentTimeMillis()) * 1000);
--- a/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineClientHandler.java
@@ -3,6 +3,8 @@
 import amberhoist.core.Core;
 import amberhoist.front.ClientHandler;
 import amberhoist.front.Front;
+import amberhoist.ids.RequestIds;
+import amberhoist.ids.RequestIds.Admission;
 import amberhoist.log.Event;
 import amberhoist.log.EventLog;
 import amberhoist.metrics.Counters;
@@ -16,9 +18,7 @@
 import amberhoist.relay.Relay.Ending;
 import java.io.IOException;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.util.HashMap;
 import java.util.Locale;
-import java.util.Map;
 
 /** Speaks the line protocol with clients: the first line, the lines relayed after it, and the final answer. */
 public final class LineClientHandler implements Front, ClientHandler {
@@ -36,8 +36,7 @@
   private final Counters counters;
   private final EventLog log;
   private final RelayCloser relayCloser;
-  /** Connections of the clients being served, by the id in their open request. */
-  private final Map<String, Long> connectionIds = new HashMap<>();
+  private final RequestIds requestIds;
   private LineLimits limits = LineLimits.DEFAULT;
   private long maxRetryAfterMicros = Long.MAX_VALUE;
   private Core core;
@@ -46,12 +45,13 @@
 
   /** Creates a front for clients on this transport; {@link #setCore} must be called before the first client. */
   public LineClientHandler(EventLoop loop, Transport transport, DescriptorBudget descriptors, Counters counters,
-      EventLog log) {
+      EventLog log, RequestIds requestIds) {
     this.loop = loop;
     this.transport = transport;
     this.descriptors = descriptors;
     this.counters = counters;
     this.log = log;
+    this.requestIds = requestIds;
     relayCloser = new RelayCloser(transport);
   }
 
@@ -156,15 +156,19 @@
   }
 
   private void onOpenRequest(Connection client, OpenRequest request) {
-    if (client.bufferedBytes() > 0 || connectionIds.containsKey(request.id())) {
-      failMalformed(client,
-          client.bufferedBytes() > 0 ? "lines before the answer to the first one" : "id is already in use");
+    if (client.bufferedBytes() > 0) {
+      failMalformed(client, "lines before the answer to the first one");
+      return;
+    }
+    Admission admission = requestIds.begin(request.id(), client.id(), request.establishedProvider() != null,
+        loop.clock().monotonic());
+    if (admission != Admission.GRANTED) {
+      failMalformed(client, admission == Admission.IN_USE ? "id is already in use" : "id may have run already");
       return;
     }
     client.timer(null);
     client.attach(request);
     transport.markAsClient(client);
-    connectionIds.put(request.id(), client.id());
     if (descriptors.isNearlyExhausted() && request.establishedProvider() == null || !descriptors.makeRoom()) {
       counters.increment(Count.CROWDED_OUT);
       counters.setupOutcomes().countRequested(request.type());
@@ -250,7 +254,7 @@
   @Override
   public void onReleased(Connection client) {
     if (client.attachment() instanceof OpenRequest request) {
-      connectionIds.remove(request.id(), client.id());
+      requestIds.end(request.id(), client.id(), loop.clock().monotonic());
     }
   }
 
--- a/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
+++ b/proxy/src/main/java/amberhoist/front/line/LineProviderHandler.java
@@ -5,6 +5,7 @@
 import amberhoist.decide.Balancer.Outcome;
 import amberhoist.directory.ProviderRegistry;
 import amberhoist.front.ProviderHandler;
+import amberhoist.ids.RequestIds;
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.net.Connection;
@@ -32,6 +33,7 @@
   private final Transport transport;
   private final Counters counters;
   private final ProviderRegistry registry;
+  private final RequestIds requestIds;
   private final BiConsumer<String, Throwable> onConnectFailed;
   private final LoadReportFetcher reports;
   private final RelayCloser relayCloser;
@@ -39,11 +41,12 @@
 
   /** Creates a handler; {@code onConnectFailed} is called with a provider if no socket to it could be opened. */
   public LineProviderHandler(EventLoop loop, Transport transport, Counters counters, ProviderRegistry registry,
-      BiConsumer<String, Throwable> onConnectFailed) {
+      RequestIds requestIds, BiConsumer<String, Throwable> onConnectFailed) {
     this.loop = loop;
     this.transport = transport;
     this.counters = counters;
     this.registry = registry;
+    this.requestIds = requestIds;
     this.onConnectFailed = onConnectFailed;
     reports = new LoadReportFetcher(loop, transport, registry);
     relayCloser = new RelayCloser(transport);
@@ -89,7 +92,9 @@
 
   @Override
   public void forward(Connection provider, long millis) {
-    transport.send(provider, ((ProviderSession) provider.attachment()).request.forwardedLine(millis),
+    OpenRequest request = ((ProviderSession) provider.attachment()).request;
+    requestIds.onForwarded(request.id());
+    transport.send(provider, request.forwardedLine(millis),
         () -> core.onOpenRequestWritten(loop.now(), provider.invocationId(), provider.id()));
     transport.read(provider);
   }
@@ -148,6 +153,9 @@
         case MOVE -> Outcome.CANCELLED;
         default -> Outcome.ERROR;
       };
+      if (kind == ProviderLine.BUSY) {
+        requestIds.onTurnedAway(((ProviderSession) provider.attachment()).request.id());
+      }
       core.onAttemptFailed(loop.now(), provider.invocationId(), provider.id(), outcome);
       return;
     }
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -2,7 +2,6 @@
 
 import amberhoist.admin.AdminSocket;
 import amberhoist.admin.Status;
-import amberhoist.config.AdminAddress;
 import amberhoist.config.OperatorConfig;
 import amberhoist.config.PlatformConfig;
 import amberhoist.config.PlatformConfig.InvalidConfigException;
@@ -15,20 +14,21 @@
 import amberhoist.front.CommandDispatcher;
 import amberhoist.front.line.LineClientHandler;
 import amberhoist.front.line.LineProviderHandler;
+import amberhoist.ids.IdTable;
+import amberhoist.ids.RequestIds;
 import amberhoist.log.Event;
 import amberhoist.log.EventLog;
 import amberhoist.metrics.Counters;
 import amberhoist.metrics.Counters.Count;
 import amberhoist.metrics.Latencies;
 import amberhoist.metrics.Latencies.Span;
-import amberhoist.mgmt.ManagementServer;
-import amberhoist.mgmt.Routes;
 import amberhoist.net.Acceptor;
 import amberhoist.net.Connection;
 import amberhoist.net.DescriptorBudget;
 import amberhoist.net.EventLoop;
 import amberhoist.net.Transport;
 import amberhoist.net.watch.DirectoryWatch;
+import amberhoist.upgrade.IdTableFile;
 import amberhoist.upgrade.UpgradeCoordinator;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -66,8 +66,7 @@
   private final Set<CompletableFuture<?>> pendingQueries = ConcurrentHashMap.newKeySet();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile ProxyConfig config;
-  private volatile AdminSocket adminSocket;
-  private volatile ManagementServer managementServer;
+  private final OperatorEndpoints operatorEndpoints;
   private volatile UpgradeCoordinator coordinator;
   private List<String> restartNeeded = List.of(); // loop thread only
   private boolean stopping; // loop thread only
@@ -80,12 +79,14 @@
     OperatorConfig operator = config.operator();
     log = new EventLog(platform.name(), operator.logSettings());
     descriptorLimits = new DescriptorLimits(descriptors, log);
+    operatorEndpoints = new OperatorEndpoints(log);
     loop = new EventLoop(fault -> log.logException(Event.LOOP_FAULT, "a task on the loop failed", fault),
         lagMicros -> latencies.record(Span.LOOP_LAG, lagMicros));
     transport = new Transport(loop, descriptors, operator.socketLimits(),
         new LoggingTelemetry.RelayLog(log, counters)::onRelayEnded);
-    clients = new LineClientHandler(loop, transport, descriptors, counters, log);
-    LineProviderHandler providers = new LineProviderHandler(loop, transport, counters, registry,
+    RequestIds requestIds = new RequestIds(openIdTable(platform));
+    clients = new LineClientHandler(loop, transport, descriptors, counters, log, requestIds);
+    LineProviderHandler providers = new LineProviderHandler(loop, transport, counters, registry, requestIds,
         (provider, fault) -> log.log(Event.PROVIDER_UNDIALLED, "cannot connect", "provider", provider, "why", fault));
     acceptor = new Acceptor(loop, descriptors, counters, operator.socketLimits(), clients::onAccepted);
     CommandDispatcher dispatcher = new CommandDispatcher(transport, providers, this::ensureDirectoryWatch,
@@ -101,6 +102,23 @@
     applyLimits(config);
   }
 
+  /** The table of used ids, shared with other processes of this proxy where upgrades are possible. */
+  private IdTable openIdTable(PlatformConfig platform) {
+    if (!isUpgradePossible(platform)) {
+      return IdTable.unshared();
+    }
+    try {
+      return new IdTable(IdTableFile.open(platform.sharedFolder()));
+    } catch (IOException fault) {
+      log.log(Event.UPGRADE_FAILED, "cannot share the ids of requests with other processes", "why", fault);
+      return IdTable.unshared();
+    }
+  }
+
+  private static boolean isUpgradePossible(PlatformConfig platform) {
+    return platform.managementAddress() != null && platform.sharedFolder() != null;
+  }
+
   private void evict(Connection connection) {
     clients.evict(connection);
   }
@@ -160,7 +178,7 @@
       if (service.coordinator != null) {
         service.coordinator.markReady().join(); // before the process reports that it serves
       }
-      service.answerOperators();
+      service.operatorEndpoints.start();
       InetSocketAddress address = service.address();
       service.log.log(Event.PROXY_SERVES, platform.name() + " serves on " + address, "address", address);
       return service;
@@ -180,7 +198,7 @@
   }
 
   private void createCoordinator(PlatformConfig platform) {
-    if (platform.managementAddress() == null || platform.sharedFolder() == null) {
+    if (!isUpgradePossible(platform)) {
       return;
     }
     coordinator = new UpgradeCoordinator(platform.sharedFolder(), new UpgradeListener(loop, core, log, heldByOthers -> {
@@ -189,36 +207,15 @@
     }), reason -> log.log(Event.UPGRADE_FAILED, "cannot read or store the upgrade record", "why", reason));
   }
 
-  /** Takes the addresses of the admin socket and of the management API, which answer later. */
   private void takeOperatorAddresses() throws IOException {
-    OperatorConfig.Admin keys = config.operator().admin();
-    SocketAddress adminAddress = AdminAddress.parse(keys.listen());
-    if (adminAddress != null) {
-      adminSocket = new AdminSocket(adminAddress, keys.timeout(), new AdminSource(), log);
-    }
     createCoordinator(config.platform());
-    InetSocketAddress managementAddress = config.platform().managementAddress();
-    if (managementAddress != null) {
-      managementServer = new ManagementServer(managementAddress,
-          new Routes(new LoopOperations(loop, core, registry, counters, () -> stopping, log, coordinator)),
-          fault -> log.log(Event.DOOR_FAILED, "cannot accept a connection", "why", fault));
-    }
-  }
-
-  /** Called last, so that operators get answers only once the proxy serves. */
-  private void answerOperators() throws IOException {
-    if (adminSocket != null) {
-      adminSocket.start();
-    }
-    if (managementServer != null) {
-      managementServer.start();
-      log.log(Event.DOOR_LISTENS, "the management API listens", "address", managementServer.address());
-    }
+    operatorEndpoints.takeAddresses(config, new AdminSource(),
+        new LoopOperations(loop, core, registry, counters, () -> stopping, log, coordinator));
   }
 
   /** The address of the management API, or null if there is none. */
   public InetSocketAddress managementAddress() throws IOException {
-    return managementServer == null ? null : managementServer.address();
+    return operatorEndpoints.managementAddress();
   }
 
   private void logSuppressed() {
@@ -233,7 +230,7 @@
 
   /** The address of the admin socket, or null if there is none. */
   public SocketAddress adminAddress() {
-    return adminSocket == null ? null : adminSocket.address();
+    return operatorEndpoints.adminAddress();
   }
 
   /** Calls {@link #reload(ConfigSources)} with the environment as the only source. */
@@ -328,12 +325,7 @@
 
   /** Closes everything at once, as if the process had been killed. */
   public void kill() {
-    if (adminSocket != null) {
-      adminSocket.close();
-    }
-    if (managementServer != null) {
-      managementServer.close();
-    }
+    operatorEndpoints.close();
     if (coordinator != null) {
       coordinator.close();
     }
--- a/proxy/src/test/java/amberhoist/service/ProxyScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/ProxyScenarioTest.java
@@ -94,12 +94,47 @@
       assertEquals("ERR", eager.readLine());
       assertEquals("FIN", firstAttempt.readLine());
       assertEquals("the duplicate started no attempt", 1, peers.service.count(Count.CALLS));
-      Peer reusing = peers.connectClient(openRequest("k", 2000, "")); // the id is no longer in use
+      assertEquals("it may have run", "ERR", peers.connectClient(openRequest("k", 2000, "")).readLine());
+      assertEquals(1, peers.service.count(Count.CALLS));
+    }
+  }
+
+  /** Guards against a request that runs twice when its id comes again after its client has left. */
+  @Test
+  public void anIdThatMayHaveRunIsNotForwardedAgain() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      Peer leaving = peers.connectClient(openRequest("a", 2000, ""));
+      Peer attempt = peers.acceptAtProvider(0);
+      attempt.readLine();
+      leaving.socket.close();
+      assertEquals("FIN", attempt.readLine());
+      assertEquals("ERR", peers.connectClient(openRequest("a", 2000, "")).readLine());
+      Peer served = peers.connectClient(openRequest("b", 2000, ""));
+      Peer provider = peers.acceptAtProvider(0);
+      provider.readLine();
+      provider.send("UP 4\r\nBYE\r\n").socket.shutdownOutput();
+      assertEquals("UP 4", served.readLine());
+      assertEquals("BYE", served.readLine());
+      assertEquals("FIN", served.readLine());
+      assertEquals("ERR", peers.connectClient(openRequest("b", 2000, "")).readLine());
+      assertEquals(2, peers.service.count(Count.CALLS));
+    }
+  }
+
+  /** Guards against an id that is refused although nothing can have run under it. */
+  @Test
+  public void anIdThatHasNotRunMayComeAgain() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      Peer refused = peers.connectClient(openRequest("a", 600, ""));
+      Peer attempt = peers.acceptAtProvider(0);
+      attempt.readLine();
+      attempt.send("BUSY\r\n");
+      assertTrue(refused.readLine().startsWith("BUSY"));
+      Peer again = peers.connectClient(openRequest("a", 3000, ""));
       Peer provider = peers.acceptAtProvider(0);
       provider.readLine();
       provider.send("UP 4\r\n");
-      assertEquals("UP 4", reusing.readLine());
-      assertEquals("ERR", peers.connectClient(openRequest("k", 2000, "")).readLine());
+      assertEquals("UP 4", again.readLine());
     }
   }
 
--- a/proxy/src/test/java/amberhoist/service/UpgradeScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/UpgradeScenarioTest.java
@@ -9,6 +9,7 @@
 import amberhoist.config.PlatformConfig;
 import amberhoist.config.ProxyConfig;
 import amberhoist.config.ProxyConfig.ConfigSources;
+import amberhoist.metrics.Counters.Count;
 import amberhoist.service.StubPeers.Peer;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
@@ -69,6 +70,39 @@
     return clients;
   }
 
+  /** Guards against a request that runs a second time when its id comes to the other process of an upgrade. */
+  @Test
+  void anIdThatMayHaveRunAtTheOldProcessIsRefusedByTheNewOne() throws Exception {
+    try (StubPeers peers = new StubPeers(1)) {
+      int port = freePort();
+      Service old = start(peers, port);
+      Peer leaving = client(port, StubPeers.openRequest("a", 2000, ""));
+      Peer attempt = peers.acceptAtProvider(0);
+      attempt.readLine();
+      leaving.socket.close();
+      assertEquals("FIN", attempt.readLine());
+      Service successor = start(peers, port);
+      old.stop(); // from now on only the successor accepts
+      assertEquals("ERR", client(port, StubPeers.openRequest("a", 2000, "")).readLine());
+      assertEquals(0, successor.count(Count.CALLS));
+      successor.kill();
+    }
+  }
+
+  /** Guards against a proxy that does not start because it cannot use the file of ids that another version has left. */
+  @Test
+  void servesWithoutTheSharedIdsIfTheirFileHasAnotherForm() throws Exception {
+    Files.write(folder.resolve("amberhoist.ids"), new byte[100]);
+    try (StubPeers peers = new StubPeers(1)) {
+      int port = freePort();
+      Service service = start(peers, port);
+      client(port, StubPeers.openRequest("a", 2000, ""));
+      assertTrue(peers.acceptAtProvider(0).readLine().contains(" a "));
+      assertEquals("ERR", client(port, StubPeers.openRequest("a", 2000, "")).readLine());
+      service.kill();
+    }
+  }
+
   @Test
   void stopMovesClientsAtOnceToASuccessorThatListensAlone() throws Exception {
     try (StubPeers peers = new StubPeers(1)) {
