Keep a watch whose line is being written and open another one beside it

Cause: a watch had 4 s to its first complete line; an answer that was being written then was closed like a silent one, and the next call started from nothing.

Change: the limit asks for progress. A watch whose line is being written stays for up to three times the limit, another one is opened beside it, and WatchSuccession keeps whichever sends an update first. Event directory.slow.

--- a/proxy/src/main/java/amberhoist/directory/WatchSuccession.java
+++ b/proxy/src/main/java/amberhoist/directory/WatchSuccession.java
@@ -9,6 +9,9 @@
  * address. Until then it stays open: the newer one may wait for its first update for seconds, and another change of the
  * address may come before that.
  *
+ * <p>A watch whose line is overdue, but still being written, stays open too, and another one is opened beside it. Whichever
+ * sends an update first goes on; if that is the older one, the one beside it is closed.
+ *
  * <p>At most {@link #MAX_WATCHES} are open: the one that has sent updates, the one that has waited longest for its
  * first update, and the newest. Does no I/O and reads no clock.
  */
@@ -21,6 +24,7 @@
   private final List<Long> waiting = new ArrayList<>(); // without an update so far, oldest first
   private long updating = NONE; // has sent updates, and is older than all that wait
   private long newest = NONE; // at the current address; NONE while that one has no watch
+  private long overdue = NONE; // an earlier one at the current address, beside which the newest was opened
 
   /**
    * A watch was opened at the current address, after the one before has ended or the address has changed.
@@ -28,6 +32,21 @@
    * @return the watches to be closed
    */
   public List<Long> onOpened(long watchId) {
+    overdue = NONE;
+    return add(watchId);
+  }
+
+  /**
+   * A watch was opened beside the newest, whose line is overdue.
+   *
+   * @return the watches to be closed
+   */
+  public List<Long> onOpenedBeside(long watchId) {
+    overdue = overdue == NONE ? newest : overdue;
+    return add(watchId);
+  }
+
+  private List<Long> add(long watchId) {
     newest = watchId;
     waiting.add(watchId);
     int maxWaiting = MAX_WATCHES - 1;
@@ -37,20 +56,28 @@
   /**
    * An open watch has sent an update of the list.
    *
-   * @return the watches to be closed: all older ones
+   * @return the watches to be closed: all older ones, and the one beside it
    */
   public List<Long> onUpdate(long watchId) {
-    int position = waiting.indexOf(watchId);
-    if (position < 0) {
-      return List.of();
+    List<Long> closed = new ArrayList<>();
+    if (watchId == overdue) {
+      closed.addAll(waiting.subList(waiting.indexOf(watchId) + 1, waiting.size()));
+      waiting.removeAll(closed);
+      newest = watchId;
     }
-    List<Long> older = new ArrayList<>(waiting.subList(0, position));
-    if (updating != NONE) {
-      older.add(updating);
+    if (watchId == overdue || watchId == newest) {
+      overdue = NONE;
+    }
+    int position = waiting.indexOf(watchId);
+    if (position >= 0) {
+      closed.addAll(waiting.subList(0, position));
+      if (updating != NONE) {
+        closed.add(updating);
+      }
+      waiting.subList(0, position + 1).clear();
+      updating = watchId;
     }
-    waiting.subList(0, position + 1).clear();
-    updating = watchId;
-    return older;
+    return closed;
   }
 
   /**
@@ -61,6 +88,7 @@
   public boolean onEnded(long watchId) {
     waiting.remove(watchId);
     updating = updating == watchId ? NONE : updating;
+    overdue = overdue == watchId ? NONE : overdue;
     boolean wasNewest = newest == watchId;
     newest = wasNewest ? NONE : newest;
     return wasNewest;
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -23,6 +23,8 @@
   DIRECTORY_UNREAD(Level.WARN, true, "directory entries were invalid; those providers stay unchanged", "providers"),
   DIRECTORY_ANSWERED(Level.INFO, true, "the directory sent the first update of a watch", "address", "index",
       "after_ms"),
+  DIRECTORY_SLOW(Level.WARN, true, "a line of the directory is still being written after the time limit; another watch"
+      + " starts beside it", "address", "after_ms"),
   DIRECTORY_MOVED(Level.INFO, false, "the directory watch has moved to another address", "address"),
   CLIENT_MALFORMED(Level.INFO, true, "a client sent an invalid request and got ERR", "peer"),
   CLIENT_EVICTED(Level.INFO, true, "an idle or answered connection was closed to free its descriptor", "peer"),
--- a/proxy/src/main/java/amberhoist/net/watch/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/watch/DirectoryWatch.java
@@ -42,13 +42,16 @@
     long id;
     long index; // of the latest update, or the one that was asked from
     boolean answered; // at least one update has come
-    Timer silenceTimer;
+    boolean progressing; // bytes of a line have come since the timer was set
+    long lineStartedAt; // when the last complete line had come, or the start; microseconds
+    Timer lineTimer;
 
     Watch(AsynchronousSocketChannel channel, InetSocketAddress address, long index) {
       this.channel = channel;
       this.address = address;
       this.index = index;
       startedAt = loop.now();
+      lineStartedAt = startedAt;
       String host = address.getAddress().getHostAddress() + ':' + address.getPort();
       request = ByteBuffer.wrap(("GET /v1/servers?follow=1&since=" + index + " HTTP/1.1\r\nHost: " + host
           + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
@@ -63,6 +66,9 @@
     /** A directory at another address than before has taken over. */
     void onMoved(InetSocketAddress newAddress);
 
+    /** A line is still being written after the timeout, this long after its start; another watch starts beside it. */
+    void onLineOverdue(InetSocketAddress address, long millis);
+
     /** A watch has failed; the next one starts after the given pause in milliseconds. */
     void onWatchFailed(String reason, long pauseMillis);
 
@@ -162,22 +168,54 @@
   }
 
   private void start() {
-    counters.increment(Count.DIRECTORY_WATCHES);
     try {
-      Watch watch = new Watch(AsynchronousSocketChannel.open(loop.channelGroup()), address, index);
-      watch.id = watches.add(watch);
+      Watch watch = open();
       succession.onOpened(watch.id).forEach(this::discard);
-      armSilenceTimer(watch, timing.firstLineTimeoutMicros());
       watch.channel.connect(address, watch.id, connectHandler);
     } catch (IOException fault) {
       scheduleNext(fault.toString());
     }
   }
 
-  private void armSilenceTimer(Watch watch, long micros) {
-    cancel(watch.silenceTimer);
-    watch.silenceTimer = loop.timerWheel().arm(loop.now() + micros,
-        now -> onBroken(watch, "no complete line within the timeout"));
+  private void startBeside() {
+    try {
+      Watch watch = open();
+      succession.onOpenedBeside(watch.id).forEach(this::discard);
+      watch.channel.connect(address, watch.id, connectHandler);
+    } catch (IOException fault) {
+      counters.increment(Count.DIRECTORY_FAILURES); // the watch whose line is overdue goes on
+    }
+  }
+
+  private Watch open() throws IOException {
+    counters.increment(Count.DIRECTORY_WATCHES);
+    Watch watch = new Watch(AsynchronousSocketChannel.open(loop.channelGroup()), address, index);
+    watch.id = watches.add(watch);
+    armLineTimer(watch, timing.firstLineTimeoutMicros());
+    return watch;
+  }
+
+  private void armLineTimer(Watch watch, long micros) {
+    cancel(watch.lineTimer);
+    watch.progressing = false;
+    watch.lineTimer = loop.timerWheel().arm(loop.now() + micros, now -> onLineTimeout(watch));
+  }
+
+  /**
+   * No complete line has come within the timeout. A watch that is silent has failed. One whose line is being written is
+   * kept, since another call might have to wait as long; another one is made all the same, since the line might not end.
+   */
+  private void onLineTimeout(Watch watch) {
+    long lineMicros = loop.now() - watch.lineStartedAt;
+    if (!watch.progressing || lineMicros >= timing.maxLineMicros()) {
+      onBroken(watch, "no complete line within the timeout");
+      return;
+    }
+    armLineTimer(watch, Math.min(timing.silenceTimeoutMicros(), timing.maxLineMicros() - lineMicros));
+    if (succession.isNewest(watch.id)) {
+      listener.onLineOverdue(watch.address, lineMicros / 1000);
+      startBeside();
+    }
   }
 
   private static void cancel(Timer timer) {
@@ -207,6 +245,7 @@
     if (bytes < 0) {
       throw new IOException("connection closed by the directory");
     }
+    watch.progressing = true;
     watch.buffer.flip();
     List<byte[]> lines = new ArrayList<>();
     try {
@@ -216,8 +255,9 @@
         onLine(watch, line);
       }
     }
-    if (!lines.isEmpty()) { // only complete lines extend the timeout: a line might never end
-      armSilenceTimer(watch, timing.silenceTimeoutMicros());
+    if (!lines.isEmpty()) {
+      watch.lineStartedAt = loop.now();
+      armLineTimer(watch, timing.silenceTimeoutMicros());
     }
     watch.buffer.clear();
     if (watch.parser.isEnded()) {
@@ -238,6 +278,7 @@
       setIndex(watch, 0); // the next watch requests the whole list, so that old changes undo no newer ones
       throw new IOException("index is lower than that of the previous update");
     }
+    succession.onUpdate(watch.id).forEach(this::discard);
     onSound(watch);
     setIndex(watch, update.index());
     if (!watch.answered) {
@@ -256,6 +297,7 @@
   private void onSound(Watch watch) {
     if (succession.isNewest(watch.id)) {
       pauseMicros = timing.initialPauseMicros();
+      cancelPause(); // the watch opened beside this one had failed
     }
   }
 
@@ -268,7 +310,6 @@
 
   private void onFirstUpdate(Watch watch) {
     watch.answered = true;
-    succession.onUpdate(watch.id).forEach(this::discard);
     listener.onWatchAnswered(watch.address, watch.index, (loop.now() - watch.startedAt) / 1000);
     if (!watch.address.equals(lastAnsweredAddress)) {
       lastAnsweredAddress = watch.address;
@@ -292,7 +333,7 @@
     if (watch == null) {
       return false;
     }
-    cancel(watch.silenceTimer);
+    cancel(watch.lineTimer);
     try {
       watch.channel.close();
     } catch (IOException fault) {
--- a/proxy/src/main/java/amberhoist/net/watch/WatchTiming.java
+++ b/proxy/src/main/java/amberhoist/net/watch/WatchTiming.java
@@ -6,14 +6,22 @@
  * <p>The directory regards a change as known after 6 s. An unanswered request, the longest pause and one second for the
  * answer to the next request must together take less than that.
  *
- * @param silenceTimeoutMicros time without a complete line after which the watch fails; one is due every 2 s
- * @param firstLineTimeoutMicros time from request to first complete line; the directory may queue requests
+ * @param silenceTimeoutMicros time without a complete line after which the watch fails, or, if bytes have come
+ *     meanwhile, another one is opened beside it; a line is due every 2 s
+ * @param firstLineTimeoutMicros the same from request to first complete line; the directory may queue requests
  * @param initialPauseMicros before the next watch after the first failure; doubled by each further failure, plus up to
  *     100 % jitter
  * @param maxPauseMicros maximum of the doubled pause, before jitter
  */
 public record WatchTiming(long silenceTimeoutMicros, long firstLineTimeoutMicros, long initialPauseMicros,
     long maxPauseMicros) {
+  private static final int MAX_LINE_TIMEOUTS = 3;
+
   /** The default timing. */
   public static final WatchTiming DEFAULT = new WatchTiming(3_000_000, 4_000_000, 100_000, 500_000);
+
+  /** Time in microseconds within which a line must be complete, however steadily its bytes come: it might never end. */
+  long maxLineMicros() {
+    return MAX_LINE_TIMEOUTS * firstLineTimeoutMicros;
+  }
 }
--- a/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
+++ b/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
@@ -92,6 +92,12 @@
       log.log(Event.DIRECTORY_MOVED, "the list now comes from the directory at " + newAddress, "address", newAddress);
     }
 
+    @Override
+    public void onLineOverdue(InetSocketAddress address, long millis) {
+      log.log(Event.DIRECTORY_SLOW, "the directory at " + address + " writes a line slowly", "address", address,
+          "after_ms", millis);
+    }
+
     @Override
     public void onWatchFailed(String why, long pauseMillis) {
       log.log(Event.DIRECTORY_FAILED, "the directory watch failed", "why", why, "pause_ms", pauseMillis);
--- a/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
@@ -77,6 +77,39 @@
     }
   }
 
+  /** Guards against an answer that is written slowly, given up each time, and so never heard. */
+  @Test
+  public void anAnswerThatIsStillBeingWrittenAtTheTimeoutIsHeard() throws Exception {
+    String timing = "[directory]\nfirst_answer = \"1s\"\nsilence = \"3s\"\n";
+    try (StubPeers peers = new StubPeers(1, 1024, timing)) {
+      Peer slow = peers.acceptWatch(new String[1]).send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      String answer = httpChunk(peers.providerListJson(2, true, "leaving"));
+      slow.send(answer.substring(0, 40));
+      Peer beside = peers.acceptWatch(new String[1]); // the timeout is over
+      slow.send(answer.substring(40));
+      assertEquals("the first one is heard", "FIN", beside.readLine());
+      assertEquals(1, peers.service.count(Count.DIRECTORY_NEWS));
+      assertTrue(peers.connectClient(openRequest("a", 300, "")).readLine().startsWith("BUSY"));
+      slow.send(httpChunk(peers.providerListJson(3, false, "active")));
+      awaitCount(peers, Count.DIRECTORY_NEWS, 2);
+      assertEquals(0, peers.service.count(Count.DIRECTORY_FAILURES));
+    }
+  }
+
+  /** Guards against a line that never ends, which must not keep the proxy from the answer of another call. */
+  @Test
+  public void aLineThatNeverEndsIsReplacedByTheAnswerToAnotherCall() throws Exception {
+    String timing = "[directory]\nfirst_answer = \"1s\"\nsilence = \"3s\"\n";
+    try (StubPeers peers = new StubPeers(1, 1024, timing)) {
+      Peer endless = peers.acceptWatch(new String[1]).send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      endless.send("9999\r\n{\"index\":");
+      peers.acceptWatchAndSend(peers.providerListJson(2, true, "leaving"));
+      awaitCount(peers, Count.DIRECTORY_NEWS, 1);
+      assertEquals("FIN", endless.readLine());
+      assertTrue(peers.connectClient(openRequest("a", 300, "")).readLine().startsWith("BUSY"));
+    }
+  }
+
   @Test
   public void reloadChangesTheDirectoryAndKeepsListAndConnections() throws Exception {
     try (StubPeers peers = new StubPeers(1); ServerSocket other = StubPeers.listen()) {
