Call the directory again within the drain limit after an outage of pushed lists

Cause: after a failure the watch pauses up to 0.5 s and as much again, chosen for a directory that is asked, where a change counts after 6 s.

Change: where lists are pushed, a pause is at most an eighth of the setting rules.stop-sending-within (WatchTiming.forPushedLists). IdTableFile opens its table itself, which shortens Service.

--- a/proxy/src/main/java/amberhoist/config/PlatformConfig.java
+++ b/proxy/src/main/java/amberhoist/config/PlatformConfig.java
@@ -32,14 +32,17 @@
  * @param settings settings of the decision module
  * @param limits limits that the core applies
  * @param managementAddress address of the management API, null if it is disabled
- * @param sharedFolder folder shared by the processes of an upgrade, null if there is none
+ * @param sharedFolder folder shared by the processes of this proxy, null if there is none
+ * @param pushedDrainLimitMicros where lists are pushed, the time in which requests to a provider that has begun to drain
+ *     must stop; 0 where the directory is asked
  */
 public record PlatformConfig(String name, InetSocketAddress listenAddress, InetSocketAddress directoryAddress,
     long seed, int maxDescriptors, DirectoryUpdate initialUpdate, Settings settings, Limits limits,
-    InetSocketAddress managementAddress, Path sharedFolder) {
+    InetSocketAddress managementAddress, Path sharedFolder, long pushedDrainLimitMicros) {
   private static final int DEFAULT_MAX_DESCRIPTORS = 1024;
   private static final long DEFAULT_CONNECT_TIMEOUT_MICROS = 250_000;
   private static final long DEFAULT_MAX_CLIENT_WAIT_MICROS = 3_000_000;
+  private static final long DEFAULT_DRAIN_LIMIT_MICROS = 250_000;
 
   /**
    * Reads the file that {@code LB_CONFIG} names. Other variables override its contents.
@@ -72,10 +75,15 @@
     return load(remaining, clock);
   }
 
+  /** The folder shared by the processes of an upgrade; null if upgrades are not possible. */
+  public Path upgradeFolder() {
+    return managementAddress == null ? null : sharedFolder;
+  }
+
   /** Returns a copy with another maximum number of file descriptors. */
   PlatformConfig withMaxDescriptors(int maxDescriptors) {
     return new PlatformConfig(name, listenAddress, directoryAddress, seed, maxDescriptors, initialUpdate, settings,
-        limits, managementAddress, sharedFolder);
+        limits, managementAddress, sharedFolder, pushedDrainLimitMicros);
   }
 
   private static PlatformConfig read(JsonParser in, Map<String, String> environment, Clock clock) throws IOException {
@@ -129,7 +137,8 @@
         new Limits(reader.wholeNumber("limits.dial-timeout", DEFAULT_CONNECT_TIMEOUT_MICROS),
             maxClientWaitMicros == 0 ? DEFAULT_MAX_CLIENT_WAIT_MICROS : maxClientWaitMicros,
             reader.namesOf("lanes"), reader.namesOf("tenants")),
-        mgmt == null || mgmt.isEmpty() ? null : Address.parse(mgmt), sharedFolder(environment.get("TMPDIR")));
+        mgmt == null || mgmt.isEmpty() ? null : Address.parse(mgmt), sharedFolder(environment.get("TMPDIR")),
+        reader.pushesLists() ? reader.wholeNumber("rules.stop-sending-within", DEFAULT_DRAIN_LIMIT_MICROS) : 0);
   }
 
   private static Path sharedFolder(String folder) {
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -14,7 +14,6 @@
 import amberhoist.front.CommandDispatcher;
 import amberhoist.front.line.LineClientHandler;
 import amberhoist.front.line.LineProviderHandler;
-import amberhoist.ids.IdTable;
 import amberhoist.ids.RequestIds;
 import amberhoist.log.Event;
 import amberhoist.log.EventLog;
@@ -28,6 +27,7 @@
 import amberhoist.net.EventLoop;
 import amberhoist.net.Transport;
 import amberhoist.net.watch.DirectoryWatch;
+import amberhoist.net.watch.WatchTiming;
 import amberhoist.upgrade.IdTableFile;
 import amberhoist.upgrade.UpgradeCoordinator;
 import java.io.IOException;
@@ -84,7 +84,8 @@
         lagMicros -> latencies.record(Span.LOOP_LAG, lagMicros));
     transport = new Transport(loop, descriptors, operator.socketLimits(),
         new LoggingTelemetry.RelayLog(log, counters)::onRelayEnded);
-    RequestIds requestIds = new RequestIds(openIdTable(platform));
+    RequestIds requestIds = new RequestIds(IdTableFile.openTable(platform.upgradeFolder(), reason ->
+        log.log(Event.UPGRADE_FAILED, "cannot share the ids of requests with other processes", "why", reason)));
     clients = new LineClientHandler(loop, transport, descriptors, counters, log, requestIds);
     LineProviderHandler providers = new LineProviderHandler(loop, transport, counters, registry, requestIds,
         (provider, fault) -> log.log(Event.PROVIDER_UNDIALLED, "cannot connect", "provider", provider, "why", fault));
@@ -95,30 +96,13 @@
     core = new Core(policy, loop.timerWheel(), dispatcher, counters, platform.limits(), operator.coreTiming(),
         new LoggingTelemetry(log, latencies));
     directoryAddress = platform.directoryAddress();
-    directoryWatch = new DirectoryWatch(loop, core, registry, counters, operator.watchTiming(), directoryAddress,
+    directoryWatch = new DirectoryWatch(loop, core, registry, counters, watchTiming(config), directoryAddress,
         platform.initialUpdate().index(), platform.seed(), new LoggingTelemetry.DirectoryWatchLog(log));
     clients.setCore(core);
     providers.setCore(core);
     applyLimits(config);
   }
 
-  /** The table of used ids, shared with other processes of this proxy where upgrades are possible. */
-  private IdTable openIdTable(PlatformConfig platform) {
-    if (!isUpgradePossible(platform)) {
-      return IdTable.unshared();
-    }
-    try {
-      return new IdTable(IdTableFile.open(platform.sharedFolder()));
-    } catch (IOException fault) {
-      log.log(Event.UPGRADE_FAILED, "cannot share the ids of requests with other processes", "why", fault);
-      return IdTable.unshared();
-    }
-  }
-
-  private static boolean isUpgradePossible(PlatformConfig platform) {
-    return platform.managementAddress() != null && platform.sharedFolder() != null;
-  }
-
   private void evict(Connection connection) {
     clients.evict(connection);
   }
@@ -127,6 +111,10 @@
     directoryWatch.ensureWatching();
   }
 
+  private static WatchTiming watchTiming(ProxyConfig config) {
+    return config.operator().watchTiming().forPushedLists(config.platform().pushedDrainLimitMicros());
+  }
+
   private void applyLimits(ProxyConfig newConfig) {
     int heldDescriptors = descriptorLimits.apply(newConfig.platform());
     if (coordinator != null) {
@@ -198,10 +186,10 @@
   }
 
   private void createCoordinator(PlatformConfig platform) {
-    if (!isUpgradePossible(platform)) {
+    if (platform.upgradeFolder() == null) {
       return;
     }
-    coordinator = new UpgradeCoordinator(platform.sharedFolder(), new UpgradeListener(loop, core, log, heldByOthers -> {
+    coordinator = new UpgradeCoordinator(platform.upgradeFolder(), new UpgradeListener(loop, core, log, heldByOthers -> {
       descriptorLimits.setHeldByOthers(heldByOthers);
       applyLimits(config);
     }), reason -> log.log(Event.UPGRADE_FAILED, "cannot read or store the upgrade record", "why", reason));
@@ -272,7 +260,7 @@
     descriptorLimits.logShortage(newConfig.platform());
     transport.limits(operator.socketLimits());
     acceptor.limits(operator.socketLimits());
-    directoryWatch.timing(operator.watchTiming());
+    directoryWatch.timing(watchTiming(config));
     core.configure(loop.now(), newConfig.platform().settings(), newConfig.platform().limits(), operator.coreTiming());
     directoryAddress = newConfig.platform().directoryAddress();
     directoryWatch.changeAddress(directoryAddress);
--- a/proxy/src/main/java/amberhoist/simulator/SettingsReader.java
+++ b/proxy/src/main/java/amberhoist/simulator/SettingsReader.java
@@ -60,6 +60,11 @@
     }
   }
 
+  /** Whether changes of the list arrive unasked, so that each counts as known when the list service has it. */
+  public boolean pushesLists() {
+    return "automatic".equals(values.get("discovery"));
+  }
+
   /**
    * Returns the settings of the balancer.
    *
--- a/proxy/src/main/java/amberhoist/upgrade/IdTableFile.java
+++ b/proxy/src/main/java/amberhoist/upgrade/IdTableFile.java
@@ -11,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.function.Consumer;
 
 /**
  * The slots of an {@link IdTable} in a file that the processes of one proxy map into their memory. A claim is visible
@@ -28,12 +29,30 @@
     this.memory = memory;
   }
 
+  /**
+   * Returns a table shared through the file of this folder; an unshared one if there is no folder, or none can be shared.
+   *
+   * @param folder may be null
+   * @param failureListener called with the reason if the file cannot be used
+   */
+  public static IdTable openTable(Path folder, Consumer<String> failureListener) {
+    if (folder == null) {
+      return IdTable.unshared();
+    }
+    try {
+      return new IdTable(open(folder));
+    } catch (IOException fault) {
+      failureListener.accept(fault.toString());
+      return IdTable.unshared();
+    }
+  }
+
   /**
    * Maps the file of this folder; creates it first if there is none.
    *
    * @throws IOException if it cannot be created or mapped, or has another size
    */
-  public static IdTableFile open(Path folder) throws IOException {
+  static IdTableFile open(Path folder) throws IOException {
     Path file = folder.resolve(FILE_NAME);
     if (!Files.exists(file)) {
       create(file);
--- a/proxy/src/test/java/amberhoist/config/PlatformConfigTest.java
+++ b/proxy/src/test/java/amberhoist/config/PlatformConfigTest.java
@@ -57,4 +57,12 @@
     assertEquals(2, config.directoryAddress().getPort());
     assertEquals(7, config.limits().connectTimeoutMicros());
   }
+
+  @Test
+  public void drainLimitCountsForTheDirectoryOnlyWhereListsArePushed() throws Exception {
+    String text = "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:2\",\"settings\":{\"discovery\":\"MODE\","
+        + "\"rules\":{\"stop-sending-within\":400000}}}";
+    assertEquals(400_000, load(text.replace("MODE", "automatic"), Map.of()).pushedDrainLimitMicros());
+    assertEquals(0, load(text.replace("MODE", "subscribe"), Map.of()).pushedDrainLimitMicros());
+  }
 }
--- a/proxy/src/test/java/amberhoist/service/EventOrderScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/EventOrderScenarioTest.java
@@ -194,6 +194,17 @@
     assertTrue(timing.silenceTimeoutMicros() + 2 * timing.maxPauseMicros() + 1_000_000 <= 6_000_000);
   }
 
+  /** Guards against a drain that is heard late because the call after an outage waits for a pause of up to a second. */
+  @Test
+  public void pushedListsAreAskedForWithinTheDrainLimitAfterAnOutage() {
+    for (long drainLimitMicros : List.of(250_000L, 500_000L)) {
+      WatchTiming timing = WatchTiming.DEFAULT.forPushedLists(drainLimitMicros);
+      assertTrue("half of the limit is left for the answer", 2 * timing.maxPauseMicros() <= drainLimitMicros / 2);
+      assertTrue(timing.initialPauseMicros() <= timing.maxPauseMicros());
+    }
+    assertEquals("asked for, not pushed", WatchTiming.DEFAULT, WatchTiming.DEFAULT.forPushedLists(0));
+  }
+
   @Test
   public void ignoresAnUpdateOfAnOlderIndexAndRequestsASnapshot() throws Exception {
     try (StubPeers peers = new StubPeers(2)) {
