Accept clients after the directory's first answer where lists are pushed

Cause: the start listened as soon as it had that list, which may be out of date.

Change: where lists are pushed, FirstAnswer waits for the directory before the process listens, 4.5 s at most, since a new process must be ready within 6 s; after that it serves by the configuration as before and says so (directory.late).

--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -23,6 +23,8 @@
   DIRECTORY_UNREAD(Level.WARN, true, "directory entries were invalid; those providers stay unchanged", "providers"),
   DIRECTORY_ANSWERED(Level.INFO, true, "the directory sent the first update of a watch", "address", "index",
       "after_ms"),
+  DIRECTORY_LATE(Level.WARN, false, "where lists are pushed, the directory has not answered at the start; the proxy serves by"
+      + " the list of its configuration", "waited_ms"),
   DIRECTORY_SLOW(Level.WARN, true, "a line of the directory is still being written after the time limit; another watch"
       + " starts beside it", "address", "after_ms"),
   DIRECTORY_MOVED(Level.INFO, false, "the directory watch has moved to another address", "address"),
--- a/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
+++ b/proxy/src/main/java/amberhoist/service/LoggingTelemetry.java
@@ -79,12 +79,13 @@
     }
   }
 
-  /** Logs answers and failures of the directory watch. */
-  record DirectoryWatchLog(EventLog log) implements DirectoryWatch.Listener {
+  /** Logs answers and failures of the directory watch; runs {@code onAnswered} at the first update of each watch. */
+  record DirectoryWatchLog(EventLog log, Runnable onAnswered) implements DirectoryWatch.Listener {
     @Override
     public void onWatchAnswered(InetSocketAddress address, long index, long millis) {
       log.log(Event.DIRECTORY_ANSWERED, "the directory at " + address + " has answered", "address", address, "index",
           index, "after_ms", millis);
+      onAnswered.run();
     }
 
     @Override
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -63,6 +63,7 @@
   private final Acceptor acceptor;
   private final Core core;
   private final DirectoryWatch directoryWatch;
+  private final FirstAnswer firstAnswer = new FirstAnswer();
   private final Set<CompletableFuture<?>> pendingQueries = ConcurrentHashMap.newKeySet();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private volatile ProxyConfig config;
@@ -97,7 +98,8 @@
         new LoggingTelemetry(log, latencies));
     directoryAddress = platform.directoryAddress();
     directoryWatch = new DirectoryWatch(loop, core, registry, counters, watchTiming(config), directoryAddress,
-        platform.initialUpdate().index(), platform.seed(), new LoggingTelemetry.DirectoryWatchLog(log));
+        platform.initialUpdate().index(), platform.seed(),
+        new LoggingTelemetry.DirectoryWatchLog(log, firstAnswer::onAnswered));
     clients.setCore(core);
     providers.setCore(core);
     applyLimits(config);
@@ -151,6 +153,7 @@
       coreStarted.get();
       service.takeOperatorAddresses(); // what can fail comes before the first client, which would be cut off
       service.joinOtherProcesses();
+      service.firstAnswer.await(platform, service.log);
       service.loop.post(() -> {
         try {
           service.acceptor.listen(platform.listenAddress(), platform.managementAddress() != null);
