Hand the list of providers to the process that starts after this one

Change: the serving process writes its list for each process that starts after it, and again at each change (upgrade.ListTransfer). The starting one takes it before it accepts clients, and its changes until the directory has answered. Event upgrade.list.

--- a/proxy/src/main/java/amberhoist/clock/Clock.java
+++ b/proxy/src/main/java/amberhoist/clock/Clock.java
@@ -18,6 +18,11 @@
     return System.nanoTime() / 1000;
   }
 
+  /** Converts a time of this clock to Unix milliseconds; 0 stays 0. */
+  public long toUnixMillis(long micros) {
+    return micros == 0 ? 0 : Math.max(1, System.currentTimeMillis() + (micros - now()) / 1000);
+  }
+
   /** Converts Unix milliseconds to this clock, correct also after the system clock was set; 0 stays 0. */
   public long fromUnixMillis(long millis) {
     return millis == 0 ? 0 : Math.max(1, now() + (millis - System.currentTimeMillis()) * 1000);
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -53,6 +53,8 @@
   DOOR_FAILED(Level.WARN, true, "the management API could not accept a connection", "why"),
   UPGRADE_SUSPENSIONS(Level.INFO, false, "suspensions in the upgrade record have taken effect in this process",
       "providers"),
+  UPGRADE_LIST(Level.INFO, true, "until the directory answers, this process serves by the list of the process before it",
+      "providers"),
   UPGRADE_FAILED(Level.WARN, true, "the upgrade record in $TMPDIR cannot be read or stored", "why"),
   ADMIN_LISTENS(Level.INFO, false, "the admin socket listens", "address"),
   ADMIN_FAILED(Level.WARN, true, "a request to the admin socket could not be answered", "why"),
--- a/proxy/src/main/java/amberhoist/service/FirstAnswer.java
+++ b/proxy/src/main/java/amberhoist/service/FirstAnswer.java
@@ -25,6 +25,11 @@
     answered.complete(null);
   }
 
+  /** Whether the directory has answered. */
+  boolean isGiven() {
+    return answered.isDone();
+  }
+
   /** Waits, if lists are pushed, until the directory has answered or the maximum wait is over. */
   void await(PlatformConfig platform, EventLog log) throws InterruptedException {
     if (platform.pushedDrainLimitMicros() == 0) {
--- a/proxy/src/main/java/amberhoist/service/Service.java
+++ b/proxy/src/main/java/amberhoist/service/Service.java
@@ -99,7 +99,7 @@
     directoryAddress = platform.directoryAddress();
     directoryWatch = new DirectoryWatch(loop, core, registry, counters, watchTiming(config), directoryAddress,
         platform.initialUpdate().index(), platform.seed(),
-        new LoggingTelemetry.DirectoryWatchLog(log, firstAnswer::onAnswered));
+        new LoggingTelemetry.DirectoryWatchLog(log, this::onDirectoryAnswered));
     clients.setCore(core);
     providers.setCore(core);
     applyLimits(config);
@@ -109,6 +109,13 @@
     clients.evict(connection);
   }
 
+  private void onDirectoryAnswered() {
+    firstAnswer.onAnswered();
+    if (coordinator != null) {
+      coordinator.endListTransfer();
+    }
+  }
+
   private void ensureDirectoryWatch() {
     directoryWatch.ensureWatching();
   }
@@ -184,6 +191,9 @@
   private void joinOtherProcesses() {
     if (coordinator != null) {
       coordinator.setHeldDescriptors(DescriptorLimits.reserved(config.platform()));
+      if (firstAnswer.isGiven()) {
+        coordinator.endListTransfer();
+      }
       coordinator.join();
     }
   }
@@ -192,7 +202,8 @@
     if (platform.upgradeFolder() == null) {
       return;
     }
-    coordinator = new UpgradeCoordinator(platform.upgradeFolder(), new UpgradeListener(loop, core, log, heldByOthers -> {
+    coordinator = new UpgradeCoordinator(platform.upgradeFolder(), new UpgradeListener(loop, core, registry,
+        firstAnswer::isGiven, log, heldByOthers -> {
       descriptorLimits.setHeldByOthers(heldByOthers);
       applyLimits(config);
     }), reason -> log.log(Event.UPGRADE_FAILED, "cannot read or store the upgrade record", "why", reason));
--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeCoordinator.java
@@ -4,12 +4,17 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
@@ -33,11 +38,22 @@
      */
     void onBindingsChanged(Map<String, String> bindings);
 
+    /** The list of providers that this process serves by, for a process that starts after it. */
+    CompletableFuture<byte[]> encodeList();
+
+    /**
+     * The process before this one serves by this list. Called before {@link UpgradeCoordinator#join} returns, and again
+     * at each change until {@link UpgradeCoordinator#endListTransfer} is called.
+     */
+    void onPredecessorList(byte[] list);
+
     /** The number of descriptors that the other processes hold, 0 if there are none. */
     void onOtherDescriptors(int otherDescriptors);
   }
 
   private static final long POLL_PERIOD_MILLIS = 100;
+  private static final long MAX_LIST_WAIT_NANOS = 1_000_000_000; // an older version writes no list
+  private static final long LIST_POLL_NANOS = 10_000_000;
   private static final int UPDATE_DESCRIPTORS = 3; // opened for a moment by an update of the record
 
   private final String token = UUID.randomUUID().toString();
@@ -45,11 +61,13 @@
   private final Listener listener;
   private final Consumer<String> failureListener;
   private final ScheduledThreadPoolExecutor executor;
+  private final ListTransfer listTransfer;
   private final AppliedRecord applied = new AppliedRecord(token);
   private Member self = new Member(token, ProcessHandle.current().pid(), false, 0);
   private int otherDescriptors;
   private volatile int heldDescriptors;
   private volatile boolean joined;
+  private volatile boolean needsList = true;
   private String lastFailure = "";
 
   /**
@@ -62,6 +80,7 @@
     this.listener = listener;
     this.failureListener = failureListener;
     file = new UpgradeRecordFile(folder, this::reportFailure);
+    listTransfer = new ListTransfer(folder);
     executor = new ScheduledThreadPoolExecutor(1, task -> {
       Thread thread = new Thread(null, task, "upgrade", 1 << 18);
       thread.setDaemon(true);
@@ -69,14 +88,61 @@
     });
   }
 
-  /** Registers this process before it serves. When this returns, the listener has received all suspensions. */
+  /**
+   * Registers this process before it serves. When this returns, the listener has received all suspensions, and the list
+   * of the process before this one, if there is one that writes it.
+   */
   public void join() {
     joined = true;
-    applied.join(updateRecord(record -> record.with(self)));
+    UpgradeRecord record = updateRecord(before -> before.with(self));
+    applied.join(record);
+    if (record.predecessorOf(token).isPresent()) {
+      awaitPredecessorList();
+    }
     poll();
     executor.scheduleWithFixedDelay(this::poll, POLL_PERIOD_MILLIS, POLL_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** The directory has answered this process, which needs no list of another one from now on. */
+  public void endListTransfer() {
+    needsList = false;
+  }
+
+  private void awaitPredecessorList() {
+    long end = System.nanoTime() + MAX_LIST_WAIT_NANOS;
+    while (needsList && !takePredecessorList() && System.nanoTime() - end < 0) {
+      LockSupport.parkNanos(LIST_POLL_NANOS);
+    }
+  }
+
+  private boolean takePredecessorList() {
+    try {
+      Optional<byte[]> list = listTransfer.take(token);
+      list.ifPresent(listener::onPredecessorList);
+      return list.isPresent();
+    } catch (IOException failure) {
+      reportFailure(String.valueOf(failure.getMessage()));
+      return false;
+    }
+  }
+
+  /** Hands the list to the processes that have started after this one, and takes that of the one before. */
+  private void transferList(UpgradeRecord record) {
+    List<Member> successors = record.successorsOf(token);
+    try {
+      if (!successors.isEmpty()) {
+        listTransfer.write(successors, listener.encodeList().get(MAX_LIST_WAIT_NANOS, TimeUnit.NANOSECONDS));
+      }
+    } catch (IOException | ExecutionException | TimeoutException failure) {
+      reportFailure("cannot hand over the list of providers: " + failure);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+    if (needsList && record.predecessorOf(token).isPresent()) {
+      takePredecessorList();
+    }
+  }
+
   /** Records that this process serves from now on. */
   public CompletableFuture<Void> markReady() {
     return CompletableFuture.runAsync(() -> {
@@ -123,6 +189,7 @@
     try {
       UpgradeRecord current = file.read();
       observe(current);
+      transferList(withoutDeadMembers(current));
       if (self.ready() && applied.areBindingsDue(current)) {
         takeBindings();
       }
@@ -184,6 +251,15 @@
         || ProcessHandle.of(member.pid()).map(ProcessHandle::isAlive).orElse(false));
   }
 
+  private void leave() {
+    UpgradeRecord record = updateRecord(before -> before.filterMembers(member -> !member.token().equals(token)));
+    try {
+      listTransfer.deleteUnused(record.members(), token);
+    } catch (IOException failure) {
+      reportFailure(String.valueOf(failure.getMessage()));
+    }
+  }
+
   private void reportFailure(String message) {
     if (!message.equals(lastFailure)) {
       lastFailure = message;
@@ -194,7 +270,7 @@
   @Override
   public void close() {
     if (joined) {
-      executor.execute(() -> updateRecord(record -> record.filterMembers(member -> !member.token().equals(token))));
+      executor.execute(this::leave);
     }
     executor.shutdown();
     try {
--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeRecord.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -63,6 +64,24 @@
     return new UpgradeRecord(suspended, members, newBindings);
   }
 
+  /** The process that serves and started last before the one with this token. */
+  public Optional<Member> predecessorOf(String token) {
+    Member predecessor = null;
+    for (Member member : members) {
+      if (member.token().equals(token)) {
+        return Optional.ofNullable(predecessor);
+      }
+      predecessor = member.ready() ? member : predecessor;
+    }
+    return Optional.empty();
+  }
+
+  /** The processes whose predecessor is the one with this token. */
+  public List<Member> successorsOf(String token) {
+    return members.stream()
+        .filter(member -> predecessorOf(member.token()).map(Member::token).filter(token::equals).isPresent()).toList();
+  }
+
   /** Whether a process that started after the one with this token serves. */
   public boolean hasSuccessor(String token) {
     boolean isLater = false;
--- a/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/DirectoryScenarioTest.java
@@ -16,8 +16,13 @@
 public class DirectoryScenarioTest {
   /** Waits until the counter has reached this number. */
   static void awaitCount(StubPeers peers, Count count, long minCount) {
+    awaitCount(peers.service, count, minCount);
+  }
+
+  /** Waits until the counter of this proxy has reached this number. */
+  static void awaitCount(Service service, Count count, long minCount) {
     long deadline = System.nanoTime() + StubPeers.TIMEOUT_MILLIS * 1_000_000L;
-    while (peers.service.count(count) < minCount) {
+    while (service.count(count) < minCount) {
       assertTrue("too few: " + count, System.nanoTime() < deadline);
     }
   }
--- a/proxy/src/test/java/amberhoist/service/PushedListScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/PushedListScenarioTest.java
@@ -113,14 +113,7 @@
     Service service = starting.join();
     directory.close();
     watch.socket.close();
-    awaitFailures(service, 50); // in 8 s: a pause of 0.5 to 1 s allows for 16 at most, one of 31 to 62 ms for 130
-  }
-
-  private static void awaitFailures(Service service, long count) {
-    long deadline = System.nanoTime() + StubPeers.TIMEOUT_MILLIS * 1_000_000L;
-    while (service.count(Count.DIRECTORY_FAILURES) < count) {
-      assertTrue(System.nanoTime() < deadline, "too few calls");
-      Thread.onSpinWait();
-    }
+    // within 8 s: a pause of 0.5 to 1 s allows for 16 at most, one of 31 to 62 ms for 130
+    DirectoryScenarioTest.awaitCount(service, Count.DIRECTORY_FAILURES, 50);
   }
 }
--- a/proxy/src/test/java/amberhoist/service/UpgradeScenarioTest.java
+++ b/proxy/src/test/java/amberhoist/service/UpgradeScenarioTest.java
@@ -70,6 +70,29 @@
     return clients;
   }
 
+  /** Guards against a new version that sends to providers that the old one has been told are leaving. */
+  @Test
+  void aSuccessorServesByTheListOfTheOldProcessUntilTheDirectoryAnswers() throws Exception {
+    try (StubPeers peers = new StubPeers(3)) {
+      int port = freePort();
+      peers.acceptWatch(new String[1]); // of the proxy of the peers, which is not played here
+      Service old = start(peers, port);
+      Peer watch = peers.acceptWatchAndSend(peers.providerListJson(2, true, "leaving"));
+      DirectoryScenarioTest.awaitCount(old, Count.DIRECTORY_NEWS, 1);
+      Service successor = start(peers, port);
+      peers.acceptWatch(new String[1]); // and is not answered
+      old.kill(); // from now on only the successor accepts
+      watch.socket.close();
+      for (int i = 0; i < 6; i++) {
+        client(port, StubPeers.openRequest("k" + i, 2000, ""));
+      }
+      DirectoryScenarioTest.awaitCount(successor, Count.CALLS, 6);
+      peers.providers.get(0).setSoTimeout(300);
+      assertThrows(java.net.SocketTimeoutException.class, () -> peers.acceptAtProvider(0));
+      successor.kill();
+    }
+  }
+
   /** Guards against a request that runs a second time when its id comes to the other process of an upgrade. */
   @Test
   void anIdThatMayHaveRunAtTheOldProcessIsRefusedByTheNewOne() throws Exception {
--- a/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
+++ b/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
@@ -13,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -34,8 +37,10 @@
     final List<Map<String, String>> bindings = new ArrayList<>();
     final Semaphore pollsHeld = new Semaphore(0);
     final Semaphore pollsAllowed = new Semaphore(0);
+    final List<String> predecessorLists = new ArrayList<>();
     final UpgradeCoordinator coordinator;
     volatile boolean holdsPolls;
+    volatile String list = "its own";
 
     Process() {
       coordinator = new UpgradeCoordinator(folder, this, failure -> { });
@@ -80,6 +85,27 @@
       bindings.add(providerByClient);
     }
 
+    @Override
+    public CompletableFuture<byte[]> encodeList() {
+      return CompletableFuture.completedFuture(list.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public synchronized void onPredecessorList(byte[] predecessorList) {
+      predecessorLists.add(new String(predecessorList, StandardCharsets.UTF_8));
+      notifyAll();
+    }
+
+    synchronized void awaitList(String expected) throws InterruptedException {
+      while (!predecessorLists.contains(expected)) {
+        wait();
+      }
+    }
+
+    synchronized List<String> predecessorLists() {
+      return List.copyOf(predecessorLists);
+    }
+
     @Override
     public void onOtherDescriptors(int otherDescriptors) {
       if (holdsPolls) { // comes late in each poll while there is another process
@@ -95,6 +121,57 @@
     processes.forEach(process -> process.coordinator.close());
   }
 
+  /** Guards against a new version that serves by an older list than the version before it. */
+  @Test
+  void aStartingProcessGetsTheListOfTheOneBeforeItAndItsChanges() throws Exception {
+    Process oldest = new Process();
+    oldest.coordinator.markReady().join();
+    Process serving = new Process();
+    serving.list = "of the second";
+    assertEquals(List.of("its own"), serving.predecessorLists(), "before join returns");
+    serving.coordinator.endListTransfer();
+    serving.coordinator.markReady().join();
+    Process starting = new Process();
+    assertEquals(List.of("of the second"), starting.predecessorLists());
+    serving.list = "changed";
+    starting.awaitList("changed");
+    starting.coordinator.endListTransfer();
+    oldest.list = "of the first, changed";
+    serving.list = "changed again";
+    starting.coordinator.markReady().join();
+    Process next = new Process();
+    next.awaitList("its own");
+    assertEquals(List.of("of the second", "changed"), starting.predecessorLists(), "the directory has answered it");
+    assertEquals(List.of("its own"), serving.predecessorLists());
+  }
+
+  /** Guards against a start that hangs because the process before it is of a version that writes no list, or held up. */
+  @Test
+  void aStartGoesOnIfTheProcessBeforeItWritesNoList() {
+    Process serving = new Process();
+    serving.coordinator.markReady().join();
+    Process other = new Process(); // polls are held only while there is another process
+    serving.holdPoll();
+    Process starting = new Process();
+    assertEquals(List.of(), starting.predecessorLists());
+    serving.releasePolls();
+    assertEquals(List.of("its own"), other.predecessorLists());
+  }
+
+  @Test
+  void filesOfListsAreDeletedInTheEnd() throws Exception {
+    Process serving = new Process();
+    serving.coordinator.markReady().join();
+    new Process().awaitList("its own");
+    Files.writeString(folder.resolve("amberhoist.list.of-a-process-that-was-killed"), "{}");
+    processes.forEach(process -> process.coordinator.close());
+    try (Stream<Path> files = Files.list(folder)) {
+      assertEquals(List.of(), files.map(file -> file.getFileName().toString())
+          .filter(name -> name.startsWith("amberhoist.list")).toList());
+    }
+    processes.clear();
+  }
+
   /** Guards against a suspension that is lost because the mark of readiness is stored right after it. */
   @Test
   void readyMarkDeliversASuspensionThatAnotherProcessHasJustStored() {
