--- a/proxy/src/main/java/amberhoist/directory/ProviderRegistry.java
+++ b/proxy/src/main/java/amberhoist/directory/ProviderRegistry.java
@@ -13,6 +13,7 @@
 public final class ProviderRegistry {
   private final Map<String, InetSocketAddress> addresses = new HashMap<>();
   private final Map<String, Server> listedProviders = new TreeMap<>();
+  private long revision;
 
   /**
    * Applies an update. A snapshot replaces all known providers, except those whose entry in it could not be read.
@@ -20,6 +21,7 @@
    * @return the entries of the update; for a snapshot also the previous entries that are kept
    */
   public List<Server> update(DirectoryUpdate update) {
+    revision++;
     List<Server> entries = new ArrayList<>(update.providers());
     if (update.snapshot()) {
       addresses.keySet().retainAll(update.unreadable());
@@ -37,6 +39,11 @@
     return entries;
   }
 
+  /** The number of updates that have been applied. */
+  public long revision() {
+    return revision;
+  }
+
   /** The address of a provider, or null if it is not known. */
   public InetSocketAddress addressOf(String provider) {
     return addresses.get(provider);
--- a/proxy/src/main/java/amberhoist/ids/IdTable.java
+++ b/proxy/src/main/java/amberhoist/ids/IdTable.java
@@ -27,6 +27,8 @@
   private static final long TICK_MASK = (1L << TICK_BITS) - 1;
   private static final long RETENTION_TICKS = RETENTION_MICROS / TICK_MICROS;
   private static final int NONE = -1;
+  private static final MessageDigest HASH = newHash(); // copied for each use
+
 
   /** The memory of a table: {@link #SLOT_COUNT} numbers, initially 0. */
   public interface Slots {
@@ -41,7 +43,7 @@
   public record Key(int firstSlot, long fingerprint) {
     /** Hashes an id. */
     public static Key of(String id) {
-      byte[] hash = digest().digest(id.getBytes(StandardCharsets.ISO_8859_1));
+      byte[] hash = copyOfHash().digest(id.getBytes(StandardCharsets.ISO_8859_1));
       long bits = 0;
       for (int i = 0; i < Long.BYTES; i++) {
         bits = bits << Byte.SIZE | hash[i] & 0xff;
@@ -53,14 +55,6 @@
     private boolean isMarkedIn(long value) {
       return value >>> TICK_BITS == fingerprint;
     }
-
-    private static MessageDigest digest() {
-      try {
-        return MessageDigest.getInstance("SHA-256");
-      } catch (NoSuchAlgorithmException fault) {
-        throw new IllegalStateException("every Java platform has SHA-256", fault);
-      }
-    }
   }
 
   private final Slots slots;
@@ -86,6 +80,22 @@
     });
   }
 
+  private static MessageDigest newHash() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException fault) {
+      throw new IllegalStateException("every Java platform has SHA-256", fault);
+    }
+  }
+
+  private static MessageDigest copyOfHash() {
+    try {
+      return (MessageDigest) HASH.clone();
+    } catch (CloneNotSupportedException uncopyable) {
+      return newHash();
+    }
+  }
+
   /** Claims an id; returns false if a claim of it holds already. */
   public boolean claim(Key key, long now) {
     while (true) {
--- a/proxy/src/main/java/amberhoist/service/UpgradeListener.java
+++ b/proxy/src/main/java/amberhoist/service/UpgradeListener.java
@@ -25,6 +25,8 @@
   private final BooleanSupplier directoryHasAnswered;
   private final EventLog log;
   private final IntConsumer otherDescriptorsListener;
+  private byte[] encodedList; // loop thread only; null before the first call
+  private long encodedRevision; // of the registry
 
   /**
    * Creates a listener that changes this core and registry.
@@ -62,7 +64,13 @@
   @Override
   public CompletableFuture<byte[]> encodeList() {
     CompletableFuture<byte[]> list = new CompletableFuture<>();
-    loop.postUrgent(() -> list.complete(ProviderListEncoder.encode(registry, loop.clock())));
+    loop.postUrgent(() -> {
+      if (encodedList == null || encodedRevision != registry.revision()) {
+        encodedList = ProviderListEncoder.encode(registry, loop.clock());
+        encodedRevision = registry.revision();
+      }
+      list.complete(encodedList);
+    });
     return list;
   }
 
--- a/proxy/src/main/java/amberhoist/upgrade/ListTransfer.java
+++ b/proxy/src/main/java/amberhoist/upgrade/ListTransfer.java
@@ -37,7 +37,7 @@
     written.keySet().removeIf(token -> successors.stream().noneMatch(member -> member.token().equals(token)));
     for (Member successor : successors) {
       if (!Arrays.equals(written.get(successor.token()), list)) {
-        Path newFile = folder.resolve(FILE_PREFIX + "new");
+        Path newFile = folder.resolve(FILE_PREFIX + successor.token() + ".new");
         Files.write(newFile, list);
         Files.move(newFile, fileFor(successor.token()), StandardCopyOption.ATOMIC_MOVE,
             StandardCopyOption.REPLACE_EXISTING);
