Hand start times of providers over on the monotonic clock; wrap long lines

Cause: the list for the next process had start times as Unix time and may be kept for as long as nothing changes; a step of the wall clock meanwhile would make a cold provider old, or an old one cold. Found when the change was read again.

Change: ProviderListEncoder writes and reads the monotonic clock, which all processes of a machine share. Lines wrapped, imports in order.

--- a/proxy/src/main/java/amberhoist/clock/Clock.java
+++ b/proxy/src/main/java/amberhoist/clock/Clock.java
@@ -18,9 +18,14 @@
     return System.nanoTime() / 1000;
   }
 
-  /** Converts a time of this clock to Unix milliseconds; 0 stays 0. */
-  public long toUnixMillis(long micros) {
-    return micros == 0 ? 0 : Math.max(1, System.currentTimeMillis() + (micros - now()) / 1000);
+  /** Converts a time of this clock to {@link #monotonic} time in milliseconds; 0 stays 0. */
+  public long toMonotonicMillis(long micros) {
+    return micros == 0 ? 0 : (monotonic() + micros - now()) / 1000;
+  }
+
+  /** Converts {@link #monotonic} time in milliseconds, of any process of this machine, to this clock; 0 stays 0. */
+  public long fromMonotonicMillis(long millis) {
+    return millis == 0 ? 0 : Math.max(1, now() + millis * 1000 - monotonic());
   }
 
   /** Converts Unix milliseconds to this clock, correct also after the system clock was set; 0 stays 0. */
--- a/proxy/src/main/java/amberhoist/config/OperatorConfig.java
+++ b/proxy/src/main/java/amberhoist/config/OperatorConfig.java
@@ -118,15 +118,16 @@
   /** The watch on the directory. */
   @Setting("The watch on the directory, by which the proxy receives updates.")
   public record Directory(
-      @Setting(value = "Time without a complete line after which the watch is renewed. While bytes of a line come, the watch"
-          + " is kept, and another one starts beside it.", min = "100ms", max = "10m")
+      @Setting(value = "Time without a complete line after which the watch is renewed. While bytes of a line come, the"
+          + " watch is kept, and another one starts beside it.", min = "100ms", max = "10m")
       Duration silence,
-      @Setting(value = "Time limit from a request to its first complete line; likewise. A line may take three times as long.", min = "100ms", max = "10m")
+      @Setting(value = "Time limit from a request to its first complete line; likewise. A line may take three times as"
+          + " long.", min = "100ms", max = "10m")
       Duration firstAnswer,
       @Setting(value = "Pause before the next watch after a failure; doubled by each further failure, plus up to"
           + " 100 % jitter.", min = "1ms", max = "1m") Duration pause,
-      @Setting(value = "Maximum of this pause, before jitter. Must not be less than `directory.pause`. Where lists are pushed,"
-          + " both are at most an eighth of `rules.stop-sending-within` of the platform's JSON.",
+      @Setting(value = "Maximum of this pause, before jitter. Must not be less than `directory.pause`. Where lists are"
+          + " pushed, both are at most an eighth of `rules.stop-sending-within` of the platform's JSON.",
           min = "1ms", max = "10m") Duration pauseMost) {}
 
   /** The defaults. */
--- a/proxy/src/main/java/amberhoist/config/PlatformConfig.java
+++ b/proxy/src/main/java/amberhoist/config/PlatformConfig.java
@@ -33,8 +33,8 @@
  * @param limits limits that the core applies
  * @param managementAddress address of the management API, null if it is disabled
  * @param sharedFolder folder shared by the processes of this proxy, null if there is none
- * @param pushedDrainLimitMicros where lists are pushed, the time in which requests to a provider that has begun to drain
- *     must stop; 0 where the directory is asked
+ * @param pushedDrainLimitMicros where lists are pushed, the time in which requests to a provider that has begun to
+ *     drain must stop; 0 where the directory is asked
  */
 public record PlatformConfig(String name, InetSocketAddress listenAddress, InetSocketAddress directoryAddress,
     long seed, int maxDescriptors, DirectoryUpdate initialUpdate, Settings settings, Limits limits,
--- a/proxy/src/main/java/amberhoist/directory/DirectoryUpdate.java
+++ b/proxy/src/main/java/amberhoist/directory/DirectoryUpdate.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 
 /**
  * One update from the directory: a snapshot of the list of providers, or changes to it. An entry that cannot be read
@@ -36,9 +37,14 @@
 
   /** Parses a text that contains exactly one update. */
   public static DirectoryUpdate parse(byte[] text, Clock clock) throws IOException {
+    return parse(text, clock::fromUnixMillis);
+  }
+
+  /** Parses the same with start times that {@code fromMillis} converts to the clock's microseconds. */
+  static DirectoryUpdate parse(byte[] text, LongUnaryOperator fromMillis) throws IOException {
     try (JsonParser json = JSON_FACTORY.createParser(text)) {
       json.nextToken();
-      DirectoryUpdate update = read(json, clock);
+      DirectoryUpdate update = read(json, fromMillis);
       require(json.nextToken() == null, "more than one object");
       return update;
     } catch (IllegalArgumentException fault) {
@@ -48,6 +54,10 @@
 
   /** Reads one update; the current token of the parser must be its opening brace. */
   public static DirectoryUpdate read(JsonParser json, Clock clock) throws IOException {
+    return read(json, clock::fromUnixMillis);
+  }
+
+  private static DirectoryUpdate read(JsonParser json, LongUnaryOperator fromMillis) throws IOException {
     require(json.currentToken() == JsonToken.START_OBJECT, "not an object");
     long index = -1;
     boolean snapshot = false;
@@ -65,7 +75,7 @@
           require(json.currentToken() == JsonToken.START_ARRAY, "endpoints is not an array");
           hasEndpoints = true;
           while (json.nextToken() == JsonToken.START_OBJECT) {
-            readEntry(json, clock, providers, addresses, unreadable);
+            readEntry(json, fromMillis, providers, addresses, unreadable);
           }
           require(json.currentToken() == JsonToken.END_ARRAY, "an endpoint is not an object");
         }
@@ -77,7 +87,7 @@
     return new DirectoryUpdate(index, snapshot, providers, addresses, unreadable);
   }
 
-  private static void readEntry(JsonParser json, Clock clock, List<Server> providers,
+  private static void readEntry(JsonParser json, LongUnaryOperator fromMillis, List<Server> providers,
       Map<String, InetSocketAddress> addresses, Set<String> unreadable) throws IOException {
     String name = null;
     InetSocketAddress address = null;
@@ -105,7 +115,7 @@
           case "group" -> group = json.getIntValue();
           case "status" -> state = STATES.get(json.getText());
           case "weight" -> weight = json.getDoubleValue();
-          case "since_ms" -> startedAt = clock.fromUnixMillis((long) json.getDoubleValue());
+          case "since_ms" -> startedAt = fromMillis.applyAsLong((long) json.getDoubleValue());
           default -> { }
         }
       } catch (JsonProcessingException | IllegalArgumentException fault) {
--- a/proxy/src/main/java/amberhoist/directory/ProviderListEncoder.java
+++ b/proxy/src/main/java/amberhoist/directory/ProviderListEncoder.java
@@ -10,7 +10,10 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 
-/** Encodes the providers of a registry in the directory's own form, as {@link DirectoryUpdate} reads it. */
+/**
+ * Encodes the providers of a registry for another process of this machine: in the directory's form, but with start
+ * times of the monotonic clock, which a step of the wall clock does not change.
+ */
 public final class ProviderListEncoder {
   private static final JsonFactory JSON_FACTORY = new JsonFactory();
 
@@ -38,6 +41,15 @@
     return bytes.toByteArray();
   }
 
+  /**
+   * Decodes a list that another process has encoded.
+   *
+   * @throws IOException if it is malformed
+   */
+  public static DirectoryUpdate decode(byte[] list, Clock clock) throws IOException {
+    return DirectoryUpdate.parse(list, clock::fromMonotonicMillis);
+  }
+
   private static void writeEntry(JsonGenerator json, Server server, InetSocketAddress address, Clock clock)
       throws IOException {
     json.writeStartObject();
@@ -48,7 +60,7 @@
     json.writeNumberField("group", server.cell());
     json.writeStringField("status", server.state() == ServerState.READY ? "active" : "leaving");
     json.writeNumberField("weight", server.relativeCapacity());
-    json.writeNumberField("since_ms", clock.toUnixMillis(server.startedAt()));
+    json.writeNumberField("since_ms", clock.toMonotonicMillis(server.startedAt()));
     json.writeEndObject();
   }
 }
--- a/proxy/src/main/java/amberhoist/directory/WatchSuccession.java
+++ b/proxy/src/main/java/amberhoist/directory/WatchSuccession.java
@@ -9,8 +9,8 @@
  * address. Until then it stays open: the newer one may wait for its first update for seconds, and another change of the
  * address may come before that.
  *
- * <p>A watch whose line is overdue, but still being written, stays open too, and another one is opened beside it. Whichever
- * sends an update first goes on; if that is the older one, the one beside it is closed.
+ * <p>A watch whose line is overdue, but still being written, stays open too, and another one is opened beside it.
+ * Whichever sends an update first goes on; if that is the older one, the one beside it is closed.
  *
  * <p>At most {@link #MAX_WATCHES} are open: the one that has sent updates, the one that has waited longest for its
  * first update, and the newest. Does no I/O and reads no clock.
--- a/proxy/src/main/java/amberhoist/ids/IdTable.java
+++ b/proxy/src/main/java/amberhoist/ids/IdTable.java
@@ -29,7 +29,6 @@
   private static final int NONE = -1;
   private static final MessageDigest HASH = newHash(); // copied for each use
 
-
   /** The memory of a table: {@link #SLOT_COUNT} numbers, initially 0. */
   public interface Slots {
     /** The number in a slot, as written last by any process. */
--- a/proxy/src/main/java/amberhoist/log/Event.java
+++ b/proxy/src/main/java/amberhoist/log/Event.java
@@ -23,8 +23,8 @@
   DIRECTORY_UNREAD(Level.WARN, true, "directory entries were invalid; those providers stay unchanged", "providers"),
   DIRECTORY_ANSWERED(Level.INFO, true, "the directory sent the first update of a watch", "address", "index",
       "after_ms"),
-  DIRECTORY_LATE(Level.WARN, false, "where lists are pushed, the directory has not answered at the start; the proxy serves by"
-      + " the list of its configuration", "waited_ms"),
+  DIRECTORY_LATE(Level.WARN, false, "where lists are pushed, the directory has not answered at the start; the proxy"
+      + " serves by the list of its configuration", "waited_ms"),
   DIRECTORY_SLOW(Level.WARN, true, "a line of the directory is still being written after the time limit; another watch"
       + " starts beside it", "address", "after_ms"),
   DIRECTORY_MOVED(Level.INFO, false, "the directory watch has moved to another address", "address"),
@@ -53,8 +53,8 @@
   DOOR_FAILED(Level.WARN, true, "the management API could not accept a connection", "why"),
   UPGRADE_SUSPENSIONS(Level.INFO, false, "suspensions in the upgrade record have taken effect in this process",
       "providers"),
-  UPGRADE_LIST(Level.INFO, true, "until the directory answers, this process serves by the list of the process before it",
-      "providers"),
+  UPGRADE_LIST(Level.INFO, true, "until the directory answers, this process serves by the list of the process before"
+      + " it", "providers"),
   UPGRADE_FAILED(Level.WARN, true, "the upgrade record in $TMPDIR cannot be read or stored", "why"),
   ADMIN_LISTENS(Level.INFO, false, "the admin socket listens", "address"),
   ADMIN_FAILED(Level.WARN, true, "a request to the admin socket could not be answered", "why"),
--- a/proxy/src/main/java/amberhoist/net/watch/DirectoryWatch.java
+++ b/proxy/src/main/java/amberhoist/net/watch/DirectoryWatch.java
@@ -202,8 +202,8 @@
   }
 
   /**
-   * No complete line has come within the timeout. A watch that is silent has failed. One whose line is being written is
-   * kept, since another call might have to wait as long; another one is made all the same, since the line might not end.
+   * No complete line has come within the timeout. A watch that is silent has failed. One whose line is being written
+   * is kept, since another call might have to wait as long; that one is made all the same, as the line might not end.
    */
   private void onLineTimeout(Watch watch) {
     long lineMicros = loop.now() - watch.lineStartedAt;
--- a/proxy/src/main/java/amberhoist/service/FirstAnswer.java
+++ b/proxy/src/main/java/amberhoist/service/FirstAnswer.java
@@ -11,8 +11,8 @@
 /**
  * The wait for the directory's first answer at the start. Where lists are pushed, all changes count as known to a new
  * process from its first moment, and the list of its configuration may be out of date: clients are accepted only after
- * the answer. Where the directory is asked, the list of the configuration counts until it has answered, so that there is
- * nothing to wait for.
+ * the answer. Where the directory is asked, the list of the configuration counts until it has answered, so that there
+ * is nothing to wait for.
  */
 final class FirstAnswer {
   /** The maximum wait: a call may take 3 s, and a new process must be ready after 6 s, also without a directory. */
--- a/proxy/src/main/java/amberhoist/service/UpgradeListener.java
+++ b/proxy/src/main/java/amberhoist/service/UpgradeListener.java
@@ -78,7 +78,7 @@
   public void onPredecessorList(byte[] list) {
     DirectoryUpdate update;
     try {
-      update = DirectoryUpdate.parse(list, loop.clock());
+      update = ProviderListEncoder.decode(list, loop.clock());
     } catch (IOException fault) {
       log.log(Event.UPGRADE_FAILED, "cannot read the list of the process before this one", "why", fault);
       return;
--- a/proxy/src/main/java/amberhoist/upgrade/IdTableFile.java
+++ b/proxy/src/main/java/amberhoist/upgrade/IdTableFile.java
@@ -30,7 +30,7 @@
   }
 
   /**
-   * Returns a table shared through the file of this folder; an unshared one if there is no folder, or none can be shared.
+   * Returns a table shared through the file of this folder; an unshared one without a folder, or if it cannot be used.
    *
    * @param folder may be null
    * @param failureListener called with the reason if the file cannot be used
--- a/proxy/src/main/java/amberhoist/upgrade/UpgradeRecord.java
+++ b/proxy/src/main/java/amberhoist/upgrade/UpgradeRecord.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
--- a/proxy/src/test/java/amberhoist/cli/ClientNamesProcessTest.java
+++ b/proxy/src/test/java/amberhoist/cli/ClientNamesProcessTest.java
@@ -43,8 +43,8 @@
       }
       socket.close();
     });
-    String config = Files.readString(Path.of("../example/config.json")).replace("127.0.0.1:3001", "127.0.0.1:" + provider)
-        .replace("127.0.0.1:3002", "127.0.0.1:" + provider);
+    String config = Files.readString(Path.of("../example/config.json"))
+        .replace("127.0.0.1:3001", "127.0.0.1:" + provider).replace("127.0.0.1:3002", "127.0.0.1:" + provider);
     int directory = harness.startListener((socket, in) -> { });
     int port = harness.startProxy(Files.writeString(folder.resolve("config.json"), config), directory, HEAP);
     List<FutureTask<Void>> clients = new ArrayList<>();
--- a/proxy/src/test/java/amberhoist/ids/RequestIdsTest.java
+++ b/proxy/src/test/java/amberhoist/ids/RequestIdsTest.java
@@ -12,7 +12,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-/** Two processes of one proxy that share a table of ids: no id may run twice, and one that has not run is free again. */
+/** Two processes of one proxy that share a table of ids: no id may run twice, and one that has not run is free. */
 class RequestIdsTest {
   private static final long SECOND = 1_000_000;
 
--- a/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
+++ b/proxy/src/test/java/amberhoist/upgrade/UpgradeCoordinatorTest.java
@@ -145,7 +145,7 @@
     assertEquals(List.of("its own"), serving.predecessorLists());
   }
 
-  /** Guards against a start that hangs because the process before it is of a version that writes no list, or held up. */
+  /** Guards against a start that hangs because the process before it is held up, or of a version without lists. */
   @Test
   void aStartGoesOnIfTheProcessBeforeItWritesNoList() {
     Process serving = new Process();
